--- /dev/null
+++ b/internal/burn/burn.go
@@ -0,0 +1,221 @@
+// Package burn counts how requests ended, by class and policy, and reports how
+// fast each class uses up its error budget.
+//
+// A request is good when its whole answer came within the class's objective.
+// The burn rate is the share of bad requests over the share that the objective
+// allows; at a rate of 1 the budget is just used up. Two windows are looked at
+// together, as in "The Site Reliability Workbook" (Google, 2018), chapter 5.
+//
+// # Usage
+//
+//	b := burn.New(clock)
+//	b.Add(burn.Key{Service: "registry", Class: "lookup", Policy: "near"}, burn.Sample{...})
+//	s := b.Snapshot()
+//	report := burn.Report(snapshots, classes)
+package burn
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+const (
+	bucketLength = 10 * time.Second
+	bucketCount  = 6 * 60 * 6
+	maxMicros    = 120_000_000
+	significant  = 2
+	z95          = 1.96
+	windowShort  = 5 * time.Minute
+	windowLong   = time.Hour
+	windowHalf   = 30 * time.Minute
+	windowSix    = 6 * time.Hour
+)
+
+// Key names what is counted together.
+type Key struct {
+	Service model.ServiceID `json:"service"`
+	Class   model.ClassID   `json:"class"`
+	Policy  model.PolicyID  `json:"policy"`
+}
+
+// Sample is how one request ended.
+type Sample struct {
+	Outcome wire.Outcome
+	Took    time.Duration
+	Good    bool
+	// Shifted says that it was served outside its home region.
+	Shifted bool
+	// Headroom is the spare part of the site's slots at the decision, from 0 to 1.
+	Headroom float64
+}
+
+type bucket struct {
+	at        int64
+	good, all int64
+}
+
+type series struct {
+	counts  Counts
+	latency *hdrhistogram.Histogram
+	buckets [bucketCount]bucket
+}
+
+// Counts are how many requests ended which way since the start.
+type Counts struct {
+	All      int64   `json:"all"`
+	Good     int64   `json:"good"`
+	Answered int64   `json:"answered"`
+	NotRun   int64   `json:"notRun"`
+	Unknown  int64   `json:"unknown"`
+	Shifted  int64   `json:"shifted"`
+	Headroom float64 `json:"headroomSum"`
+}
+
+// Window is the good and all requests of a window.
+type Window struct {
+	Good int64 `json:"good"`
+	All  int64 `json:"all"`
+}
+
+// Series is what one VM counted for a key.
+type Series struct {
+	Key
+	Counts   Counts                 `json:"counts"`
+	Latency  *hdrhistogram.Snapshot `json:"latency"`
+	FiveMin  Window                 `json:"fiveMinutes"`
+	HalfHour Window                 `json:"thirtyMinutes"`
+	Hour     Window                 `json:"oneHour"`
+	SixHours Window                 `json:"sixHours"`
+}
+
+// Book counts requests. It is safe for concurrent use.
+type Book struct {
+	mu     sync.Mutex
+	clock  func() time.Duration
+	series map[Key]*series
+}
+
+// New returns an empty book.
+func New(clock func() time.Duration) *Book {
+	return &Book{clock: clock, series: map[Key]*series{}}
+}
+
+// Add counts a request.
+func (b *Book) Add(k Key, s Sample) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x, ok := b.series[k]
+	if !ok {
+		x = &series{latency: hdrhistogram.New(1, maxMicros, significant)}
+		b.series[k] = x
+	}
+	x.add(s, int64(b.clock()/bucketLength))
+}
+
+func (x *series) add(s Sample, at int64) {
+	c := &x.counts
+	c.All++
+	switch s.Outcome {
+	case wire.Answered:
+		c.Answered++
+		// The value is within the bounds, so recording cannot fail.
+		_ = x.latency.RecordValue(min(maxMicros, max(1, s.Took.Microseconds())))
+	case wire.NotRun:
+		c.NotRun++
+	case wire.Unknown:
+		c.Unknown++
+	}
+	if s.Shifted {
+		c.Shifted++
+	}
+	c.Headroom += s.Headroom
+	w := &x.buckets[at%bucketCount]
+	if w.at != at {
+		*w = bucket{at: at}
+	}
+	w.all++
+	if s.Good {
+		c.Good++
+		w.good++
+	}
+}
+
+func (x *series) window(d time.Duration, now int64) Window {
+	var w Window
+	oldest := now - int64(d/bucketLength)
+	for i := range x.buckets {
+		if k := &x.buckets[i]; k.all > 0 && k.at > oldest && k.at <= now {
+			w.Good += k.good
+			w.All += k.all
+		}
+	}
+	return w
+}
+
+// Snapshot returns what was counted.
+func (b *Book) Snapshot() []Series {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := int64(b.clock() / bucketLength)
+	out := make([]Series, 0, len(b.series))
+	for k, x := range b.series {
+		out = append(out, Series{
+			Key: k, Counts: x.counts, Latency: x.latency.Export(),
+			FiveMin: x.window(windowShort, now), HalfHour: x.window(windowHalf, now),
+			Hour: x.window(windowLong, now), SixHours: x.window(windowSix, now),
+		})
+	}
+	return out
+}
+
+// Merge adds up what several VMs counted.
+func Merge(all ...[]Series) []Series {
+	m := map[Key]*Series{}
+	h := map[Key]*hdrhistogram.Histogram{}
+	for _, list := range all {
+		for _, s := range list {
+			if _, ok := m[s.Key]; !ok {
+				m[s.Key] = &Series{Key: s.Key}
+				h[s.Key] = hdrhistogram.New(1, maxMicros, significant)
+			}
+			m[s.Key].addUp(s)
+			h[s.Key].Merge(hdrhistogram.Import(s.Latency))
+		}
+	}
+	out := make([]Series, 0, len(m))
+	for k, s := range m {
+		s.Latency = h[k].Export()
+		out = append(out, *s)
+	}
+	slices.SortFunc(out, func(a, b Series) int { return compareKeys(a.Key, b.Key) })
+	return out
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Policy, b.Policy))
+}
+
+func (s *Series) addUp(o Series) {
+	s.Counts.All += o.Counts.All
+	s.Counts.Good += o.Counts.Good
+	s.Counts.Answered += o.Counts.Answered
+	s.Counts.NotRun += o.Counts.NotRun
+	s.Counts.Unknown += o.Counts.Unknown
+	s.Counts.Shifted += o.Counts.Shifted
+	s.Counts.Headroom += o.Counts.Headroom
+	s.FiveMin.addUp(o.FiveMin)
+	s.HalfHour.addUp(o.HalfHour)
+	s.Hour.addUp(o.Hour)
+	s.SixHours.addUp(o.SixHours)
+}
+
+func (w *Window) addUp(o Window) {
+	w.Good += o.Good
+	w.All += o.All
+}
--- /dev/null
+++ b/internal/entry/announce.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	announceEvery model.Millis = 500
+	// heardLife is how long a target is reported that no longer announces itself.
+	heardLife = 5 * time.Second
+	maxSlots  = 100_000
+)
+
+// announcements are the targets that this entry hears.
+type announcements struct {
+	mu     sync.Mutex
+	m      map[model.TargetID]*heard
+	owners map[model.TargetID]*eelpb.TargetOwner
+}
+
+type heard struct {
+	a wire.Announcement
+	// at is a time before which the announcement was not made.
+	at       time.Duration
+	received time.Duration
+}
+
+// take keeps an announcement unless a later one of the target is known.
+func (l *announcements) take(a wire.Announcement, at, now time.Duration) *heard {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.m == nil {
+		l.m = map[model.TargetID]*heard{}
+	}
+	old, ok := l.m[a.ID]
+	if ok && !later(a, old.a) {
+		return old
+	}
+	h := &heard{a: a, at: at, received: now}
+	l.m[a.ID] = h
+	return h
+}
+
+// later orders announcements; a draining incarnation stays draining.
+func later(a, old wire.Announcement) bool {
+	if a.Incarnation != old.Incarnation {
+		return a.Incarnation > old.Incarnation
+	}
+	if old.State == wire.Draining && a.State != wire.Draining {
+		return false
+	}
+	return a.Sequence > old.Sequence
+}
+
+func (l *announcements) reports(now time.Duration) []*eelpb.TargetReport {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*eelpb.TargetReport
+	for id, h := range l.m {
+		if now > h.received+heardLife {
+			delete(l.m, id)
+			continue
+		}
+		out = append(out, &eelpb.TargetReport{
+			Id: string(id), Incarnation: h.a.Incarnation, Addr: h.a.Addr, Service: string(h.a.Service),
+			FailureDomain: string(h.a.FailureDomain), Slots: uint32(h.a.Slots),
+			Draining: h.a.State == wire.Draining, Ready: h.a.State == wire.Ready,
+		})
+	}
+	return out
+}
+
+func (l *announcements) setOwners(o []*eelpb.TargetOwner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owners = map[model.TargetID]*eelpb.TargetOwner{}
+	for _, x := range o {
+		l.owners[model.TargetID(x.Target)] = x
+	}
+}
+
+func (l *announcements) owner(id model.TargetID) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o, ok := l.owners[id]; ok {
+		return o.Addr
+	}
+	return ""
+}
+
+// token proves when this entry answered; it is a time on this process's clock.
+func (x *Entry) token() string {
+	return fmt.Sprintf("%x.%x", x.lease.incarnation, int64(x.now()))
+}
+
+// madeAfter returns a time before which the announcement was not made: that of
+// the token it carries. Without a valid token it is not known.
+func (x *Entry) madeAfter(token string) (time.Duration, bool) {
+	i, at, ok := strings.Cut(token, ".")
+	if !ok || i != strconv.FormatUint(x.lease.incarnation, 16) {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(at, 16, 64)
+	if err != nil || time.Duration(n) > x.now() {
+		return 0, false
+	}
+	return time.Duration(n), true
+}
+
+func (x *Entry) announce(c echo.Context) error {
+	var a wire.Announcement
+	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
+		return c.JSON(http.StatusBadRequest, wire.Failure{Error: "announcement: " + err.Error()})
+	}
+	if err := x.checkAnnouncement(a); err != nil {
+		return c.JSON(http.StatusBadRequest, wire.Failure{Error: "announcement: " + err.Error()})
+	}
+	at, known := x.madeAfter(a.Token)
+	h := x.heard.take(a, at, x.now())
+	if known || h.a.State == wire.Draining {
+		x.pools.get(a.Service).Hear(pool.Target{
+			ID: a.ID, Addr: h.a.Addr, Domain: h.a.FailureDomain, Slots: h.a.Slots, Incarnation: h.a.Incarnation,
+			Ready: h.a.State == wire.Ready, Draining: h.a.State == wire.Draining, HeardAt: h.at,
+		})
+	}
+	r := wire.Announced{Token: x.token(), EveryMillis: announceEvery, AnnounceTo: x.announceTo(a.ID)}
+	if d, ok := x.pools.get(a.Service).Drained(a.ID); ok {
+		m := model.Millis(d.Milliseconds())
+		r.DrainedMillis = &m
+	}
+	return c.JSON(http.StatusOK, r)
+}
+
+func (x *Entry) checkAnnouncement(a wire.Announcement) error {
+	if err := setup.CheckID("id", string(a.ID)); err != nil {
+		return err
+	}
+	if err := setup.CheckAddr("addr", a.Addr); err != nil {
+		return err
+	}
+	if a.Slots <= 0 || a.Slots > maxSlots {
+		return fmt.Errorf("slots is %d, not from 1 to %d", a.Slots, maxSlots)
+	}
+	switch a.State {
+	case wire.Starting, wire.Ready, wire.Draining:
+	default:
+		return fmt.Errorf("state %q is not starting, ready or draining", a.State)
+	}
+	c := x.config.catalogue()
+	if c == nil {
+		return nil
+	}
+	if _, ok := c.Services[a.Service]; !ok {
+		return fmt.Errorf("service %q does not exist", a.Service)
+	}
+	if _, ok := c.Domains[a.FailureDomain]; !ok {
+		return fmt.Errorf("failure domain %q does not exist", a.FailureDomain)
+	}
+	return nil
+}
+
+// announceTo returns the owner of a target and a second entry.
+func (x *Entry) announceTo(id model.TargetID) []string {
+	o := x.heard.owner(id)
+	if o == "" || o == x.o.Addr {
+		return append([]string{x.o.Addr}, x.neighbours(id, 1)...)
+	}
+	if x.leaving.Load() {
+		return append([]string{o}, x.neighbours(id, 1)...)
+	}
+	return []string{o, x.o.Addr}
+}
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	claimPoll = 50 * time.Millisecond
+	// recordTimeout is how long an owner tries to record a result.
+	recordTimeout = 10 * time.Second
+)
+
+// once dispatches a request that runs at most once: the claim is committed
+// first, and nothing is sent twice under one claim.
+func (x *Entry) once(ctx context.Context, j *job, s *pool.Slot, a ownerAsk, ready func() error) verdict {
+	o := &eelpb.ClaimOp{
+		Kind: eelpb.ClaimKind_CLAIM_TAKE, RequestId: string(j.id), Digest: j.digest(),
+		Attempt: j.claimAttempt(j.try), Vm: string(x.o.ID), Token: rand.Uint64(),
+	}
+	r, err := x.state.claim(ctx, o)
+	if err != nil {
+		s.Release()
+		return broken("claim: %v", err)
+	}
+	if !r.Ok {
+		s.Release()
+		return x.fromRecord(r)
+	}
+	if err := ready(); err != nil {
+		s.Release()
+		return x.reopen(ctx, o, err.Error())
+	}
+	return x.dispatchOnce(ctx, j, s, a, o)
+}
+
+// dispatchOnce sends the request and records how it ended, also where the
+// caller has left or the deadline has passed.
+func (x *Entry) dispatchOnce(ctx context.Context, j *job, s *pool.Slot, a ownerAsk, o *eelpb.ClaimOp) verdict {
+	done := make(chan verdict, 1)
+	x.g.Go(func(context.Context) error {
+		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), j.deadline-x.now()+afterGrace)
+		defer cancel()
+		done <- x.record(late, o, x.dispatch(late, j, s, a))
+		return nil
+	})
+	select {
+	case v := <-done:
+		return v
+	case <-ctx.Done():
+		return broken("target %q has not answered before the deadline", s.Target().ID)
+	}
+}
+
+// record commits the result of a dispatch to its claim.
+func (x *Entry) record(ctx context.Context, o *eelpb.ClaimOp, v verdict) verdict {
+	if v.kind == verdictRefused {
+		return x.reopen(ctx, o, v.reason)
+	}
+	f := &eelpb.ClaimOp{
+		Kind: eelpb.ClaimKind_CLAIM_FINISH, RequestId: o.RequestId, Digest: o.Digest, Vm: o.Vm, Token: o.Token,
+		Unknown: v.kind != verdictAnswered,
+	}
+	if v.kind == verdictAnswered {
+		f.Answer = keptAnswer(v.answer)
+	}
+	t, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	defer cancel()
+	if _, err := x.state.claim(t, f); err != nil {
+		level.Warn(x.o.Log).Log("msg", "result not recorded", "request", o.RequestId, "err", err)
+	}
+	return v
+}
+
+func keptAnswer(a *answer) *eelpb.Answer {
+	k := &eelpb.Answer{Status: int32(a.status), ContentType: a.contentType, Body: a.body}
+	if len(a.body) > state.MaxKeptAnswer {
+		k.Body, k.Truncated = nil, true
+	}
+	return k
+}
+
+// reopen gives a claim back whose dispatch is proved not to have run.
+func (x *Entry) reopen(ctx context.Context, o *eelpb.ClaimOp, reason string) verdict {
+	q := &eelpb.ClaimOp{Kind: eelpb.ClaimKind_CLAIM_REOPEN, RequestId: o.RequestId, Digest: o.Digest, Vm: o.Vm, Token: o.Token}
+	r, err := x.state.claim(ctx, q)
+	if err != nil || !r.Ok {
+		return broken("claim could not be given back after: %s", reason)
+	}
+	return refused(noTargetWait, "%s", reason)
+}
+
+// fromRecord says what another dispatch of the request has come to.
+func (x *Entry) fromRecord(r *eelpb.ClaimReply) verdict {
+	if r.Mismatch {
+		return verdict{kind: verdictConflict, reason: "request id was used before with another content"}
+	}
+	if r.Full {
+		return refused(defaultRetryAfter, "the store of claims is full")
+	}
+	switch r.Record.State {
+	case eelpb.ClaimState_CLAIM_DONE:
+		return fromAnswer(r.Record.Answer)
+	case eelpb.ClaimState_CLAIM_CLOSED:
+		return verdict{kind: verdictClosed, reason: "this attempt was answered with notRun before"}
+	case eelpb.ClaimState_CLAIM_UNKNOWN:
+		return broken("an earlier dispatch of the request ended without an answer")
+	}
+	return broken("another dispatch of the request is in progress at VM %q", r.Record.Vm)
+}
+
+func fromAnswer(a *eelpb.Answer) verdict {
+	if a.GetTruncated() {
+		return broken("the request ran; its answer was too large to be kept")
+	}
+	w := &answer{status: int(a.GetStatus()), contentType: a.GetContentType(), body: a.GetBody()}
+	return verdict{kind: verdictAnswered, answer: w}
+}
+
+// settle turns the last try of a request into its final outcome. A request
+// that runs at most once is told notRun only when its claim is closed.
+func (x *Entry) settle(ctx context.Context, j *job, v verdict) verdict {
+	if !j.atMostOnce() || v.kind == verdictAnswered || v.kind == verdictConflict {
+		return v
+	}
+	o := &eelpb.ClaimOp{
+		Kind: eelpb.ClaimKind_CLAIM_CLOSE, RequestId: string(j.id), Digest: j.digest(),
+		Attempt: j.claimAttempt(lastTry), Vm: string(x.o.ID),
+	}
+	for {
+		r, err := x.state.claim(ctx, o)
+		if err != nil {
+			return broken("claim could not be closed after: %s", v.reason)
+		}
+		if r.Ok {
+			return refused(v.retryAfter, "%s", v.reason)
+		}
+		w := x.fromRecord(r)
+		if r.Record.GetState() != eelpb.ClaimState_CLAIM_TAKEN {
+			return w.with(v)
+		}
+		sleep(ctx, claimPoll)
+		if ctx.Err() != nil {
+			return w.with(v)
+		}
+	}
+}
+
+// with keeps how the request was steered.
+func (v verdict) with(o verdict) verdict {
+	v.shifted, v.headroom = o.shifted, o.headroom
+	if v.target == "" {
+		v.target = o.target
+	}
+	return v
+}
--- /dev/null
+++ b/internal/entry/front.go
@@ -0,0 +1,235 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/burn"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/labstack/echo/v4"
+)
+
+const (
+	// maxTries bounds the sites that one request is sent to.
+	maxTries = 3
+	// defaultRetryAfter is when to come back where nothing better is known.
+	defaultRetryAfter = 500 * time.Millisecond
+	minRetryAfter     = 50 * time.Millisecond
+)
+
+// serve answers a caller's request.
+func (x *Entry) serve(c echo.Context) error {
+	from := x.now()
+	v := x.view.Load()
+	if v == nil || !x.valid() {
+		return x.say(c, nil, refused(defaultRetryAfter, "entry holds no lease"))
+	}
+	j, status, err := x.read(c, v, from)
+	if err != nil {
+		return c.JSON(status, wire.Failure{Error: err.Error(), Outcome: wire.NotRun, Reason: "badRequest"})
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), j.deadline-x.now())
+	defer cancel()
+	r := x.settle(ctx, j, x.steer(ctx, v, j))
+	x.count(j, r, x.now()-from)
+	return x.say(c, j, r)
+}
+
+func (x *Entry) count(j *job, r verdict, took time.Duration) {
+	o := r.outcome()
+	x.book.Add(burn.Key{Service: j.service, Class: j.cls.Name, Policy: j.policy.Name}, burn.Sample{
+		Outcome: o, Took: took, Shifted: r.shifted, Headroom: r.headroom,
+		Good: o == wire.Answered && took <= j.cls.ObjectiveMillis.Duration(),
+	})
+}
+
+// read checks a request and reads it whole.
+func (x *Entry) read(c echo.Context, v *view, from time.Duration) (*job, int, error) {
+	q := c.Request()
+	s, n := model.ServiceID(c.Param("service")), model.ClassID(c.Param("class"))
+	cls, ok := v.catalogue.Class(s, n)
+	if !ok {
+		return nil, http.StatusNotFound, fmt.Errorf("class %q of service %q does not exist", n, s)
+	}
+	j := &job{service: s, cls: cls, method: q.Method, contentType: q.Header.Get("Content-Type")}
+	j.path = "/" + c.Param("*")
+	if q.URL.RawQuery != "" {
+		j.path += "?" + q.URL.RawQuery
+	}
+	if err := x.readHeaders(j, q.Header, v.catalogue, from); err != nil {
+		return nil, http.StatusBadRequest, err
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(c.Response(), q.Body, cls.MaxRequestBytes))
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		return nil, http.StatusRequestEntityTooLarge, fmt.Errorf("request is over %d bytes", cls.MaxRequestBytes)
+	}
+	if err != nil {
+		return nil, http.StatusBadRequest, fmt.Errorf("request was cut: %w", err)
+	}
+	j.body = b
+	j.policy = steer.PickPolicy(v.catalogue, s, n, j.id)
+	return j, 0, nil
+}
+
+func (x *Entry) readHeaders(j *job, h http.Header, c *model.Catalogue, from time.Duration) error {
+	j.id = model.RequestID(h.Get(wire.HeaderRequestID))
+	if j.id == "" && j.atMostOnce() {
+		return fmt.Errorf("header %s is required for class %q", wire.HeaderRequestID, j.cls.Name)
+	}
+	if j.id == "" {
+		j.id = model.RequestID(fmt.Sprintf("%s-%x", x.o.ID, rand.Uint64()))
+	}
+	if err := setup.CheckID(wire.HeaderRequestID, string(j.id)); err != nil {
+		return fmt.Errorf("header %w", err)
+	}
+	var err error
+	if j.attempt, err = number(h, wire.HeaderAttempt, 1); err != nil {
+		return err
+	}
+	d, err := number(h, wire.HeaderDeadline, uint64(j.cls.DeadlineMillis))
+	if err != nil {
+		return err
+	}
+	j.deadline = from + min(time.Duration(d)*time.Millisecond, j.cls.DeadlineMillis.Duration())
+	j.home = model.RegionID(h.Get(wire.HeaderRegion))
+	if j.home == "" {
+		j.home = c.RegionOf(x.o.Domain)
+	}
+	if _, ok := c.Regions[j.home]; !ok {
+		return fmt.Errorf("header %s: region %q does not exist", wire.HeaderRegion, j.home)
+	}
+	return nil
+}
+
+// maxNumber is the largest number in a header.
+const maxNumber = 1 << 32
+
+// number reads a header from 1 to maxNumber.
+func number(h http.Header, name string, missing uint64) (uint64, error) {
+	t := h.Get(name)
+	if t == "" {
+		return missing, nil
+	}
+	n, err := strconv.ParseUint(t, 10, 64)
+	if err != nil || n == 0 || n > maxNumber {
+		return 0, fmt.Errorf("header %s: %q is not a number from 1 to %d", name, t, uint64(maxNumber))
+	}
+	return n, nil
+}
+
+// steer sends a request to one site after the other, within the retry budget,
+// until one answers or none is left.
+func (x *Entry) steer(ctx context.Context, v *view, j *job) verdict {
+	x.budget.Earn()
+	sites := v.table.Sites(j.service)
+	last := refused(defaultRetryAfter, "no site of service %q has a ready target", j.service)
+	var tried steer.Tried
+	turn := x.turn.Add(1)
+	for j.try < maxTries {
+		i := steer.Choose(steer.Query{Policy: j.policy, Home: j.home, Now: x.now(), Turn: turn}, sites, &tried)
+		if i < 0 {
+			return last
+		}
+		tried.Add(i)
+		s := &sites[i]
+		p, wait, ok := x.permit(v.catalogue, j, s)
+		if !ok {
+			last = refused(wait, "a link or shift cap to region %q is full", s.Region)
+			continue
+		}
+		r := x.try(ctx, j, s, p)
+		j.try++
+		if !x.again(ctx, j, r) {
+			return r
+		}
+		last = r
+	}
+	return last
+}
+
+// again tells whether a request may be sent to another site.
+func (x *Entry) again(ctx context.Context, j *job, r verdict) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	retry := r.kind == verdictRefused || r.kind == verdictBroken && !j.atMostOnce()
+	return retry && j.try < maxTries && x.budget.Spend()
+}
+
+// try sends a request to the owner of a site, which may be this VM.
+func (x *Entry) try(ctx context.Context, j *job, s *steer.Site, p *permit) verdict {
+	free := spare(s)
+	s.Gauge.Sent.Add(1)
+	defer s.Gauge.Sent.Add(-1)
+	shifted := s.Region != j.home
+	var r verdict
+	if s.Local {
+		r = x.own(ctx, j, ownerAsk{domain: s.Domain, shifted: shifted, permit: p})
+	} else {
+		r = x.forward(ctx, j, s, shifted, p)
+	}
+	r.shifted, r.headroom = shifted, free
+	if r.kind == verdictAnswered {
+		x.sizes.observe(j.service, j.cls, int64(len(r.answer.body)))
+	}
+	return r
+}
+
+// say gives the caller the final answer.
+func (x *Entry) say(c echo.Context, j *job, r verdict) error {
+	h := c.Response().Header()
+	h.Set(wire.HeaderOutcome, string(r.outcome()))
+	if j != nil {
+		h.Set(wire.HeaderRequestID, string(j.id))
+		h.Set(wire.HeaderPolicy, string(j.policy.Name))
+	}
+	if x.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+	if r.kind == verdictAnswered {
+		h.Set(wire.HeaderTarget, string(r.target))
+		return x.sayAnswer(c, r.answer)
+	}
+	return x.sayNo(c, r)
+}
+
+func (x *Entry) sayAnswer(c echo.Context, a *answer) error {
+	h := c.Response().Header()
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	if a.contentType != "" {
+		h.Set("Content-Type", a.contentType)
+	}
+	c.Response().WriteHeader(a.status)
+	_, err := c.Response().Write(a.body)
+	return err
+}
+
+func (x *Entry) sayNo(c echo.Context, r verdict) error {
+	h := c.Response().Header()
+	f := wire.Failure{Error: r.reason, Outcome: r.outcome(), Reason: string(r.kind)}
+	if r.kind == verdictConflict {
+		return c.JSON(http.StatusConflict, f)
+	}
+	wait := max(minRetryAfter, r.retryAfter)
+	f.RetryAfterMillis = model.Millis(wait.Milliseconds())
+	f.TryEntries = x.neighbours("", maxTries)
+	h.Set("Retry-After", strconv.Itoa(int((wait+time.Second-1)/time.Second)))
+	h.Set(wire.HeaderRetryAfterMillis, strconv.FormatInt(wait.Milliseconds(), 10))
+	h.Set(wire.HeaderReason, string(r.kind))
+	h.Set(wire.HeaderTryEntries, strings.Join(f.TryEntries, ","))
+	if r.outcome() == wire.Unknown {
+		return c.JSON(http.StatusGatewayTimeout, f)
+	}
+	return c.JSON(http.StatusServiceUnavailable, f)
+}
--- /dev/null
+++ b/internal/entry/hop.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/labstack/echo/v4"
+)
+
+// The hop from a front to an owner is plain HTTP, signed with the deployment's key.
+const (
+	pathHop        = "/internal/v1/hop"
+	headerService  = "Eel-Hop-Service"
+	headerClass    = "Eel-Hop-Class"
+	headerMethod   = "Eel-Hop-Method"
+	headerPath     = "Eel-Hop-Path"
+	headerDomain   = "Eel-Hop-Failure-Domain"
+	headerShifted  = "Eel-Hop-Shifted"
+	headerTry      = "Eel-Hop-Try"
+	headerVerdict  = "Eel-Hop-Verdict"
+	headerStatus   = "Eel-Hop-Status"
+	headerLoad     = "Eel-Hop-Load"
+	headerLeftover = "Eel-Hop-Retry-After-Millis"
+)
+
+// forward sends a request to the owner of a site.
+func (x *Entry) forward(ctx context.Context, j *job, s *steer.Site, shifted bool, p *permit) verdict {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr+pathHop, bytes.NewReader(j.body))
+	if err != nil {
+		return refused(0, "hop cannot be made: %v", err)
+	}
+	x.hopHeaders(q.Header, j, s, shifted)
+	res, err := x.hop.Do(q)
+	if err != nil {
+		return broken("owner %q: %v", s.VM, err)
+	}
+	defer res.Body.Close()
+	if n, err := strconv.ParseInt(res.Header.Get(headerLoad), 10, 32); err == nil {
+		s.Gauge.See(int32(n), x.now())
+	}
+	b, err := io.ReadAll(io.LimitReader(x.paced(ctx, res.Body, p), j.cls.MaxAnswerBytes+headerBytes))
+	if err != nil {
+		return broken("answer of owner %q was cut: %v", s.VM, err)
+	}
+	return x.readHop(j, res, b)
+}
+
+func (x *Entry) hopHeaders(h http.Header, j *job, s *steer.Site, shifted bool) {
+	h.Set(headerService, string(j.service))
+	h.Set(headerClass, string(j.cls.Name))
+	h.Set(headerMethod, j.method)
+	h.Set(headerPath, j.path)
+	h.Set(headerDomain, string(s.Domain))
+	h.Set(headerShifted, strconv.FormatBool(shifted))
+	h.Set(headerTry, strconv.FormatUint(j.try, 10))
+	h.Set("Content-Type", j.contentType)
+	h.Set(wire.HeaderRequestID, string(j.id))
+	h.Set(wire.HeaderAttempt, strconv.FormatUint(j.attempt, 10))
+	h.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, (j.deadline-x.now()).Milliseconds()), 10))
+	h.Set(wire.HeaderRegion, string(j.home))
+}
+
+// readHop turns an owner's answer into a verdict.
+func (x *Entry) readHop(j *job, res *http.Response, b []byte) verdict {
+	if res.Header.Get(wire.HeaderRequestID) != string(j.id) {
+		return broken("owner answered with status %d for another request", res.StatusCode)
+	}
+	v := verdict{kind: verdictKind(res.Header.Get(headerVerdict)), target: model.TargetID(res.Header.Get(wire.HeaderTarget))}
+	if v.kind == verdictAnswered {
+		n, err := strconv.Atoi(res.Header.Get(headerStatus))
+		if err != nil {
+			return broken("owner answered without a status")
+		}
+		v.answer = &answer{status: n, contentType: res.Header.Get("Content-Type"), body: b}
+		return v
+	}
+	v.reason = string(b)
+	if n, err := strconv.ParseInt(res.Header.Get(headerLeftover), 10, 64); err == nil {
+		v.retryAfter = time.Duration(n) * time.Millisecond
+	}
+	return v
+}
+
+// takeHop serves a request that another entry forwards to this owner.
+func (x *Entry) takeHop(w http.ResponseWriter, r *http.Request) {
+	j, a, ok := x.hopJob(r)
+	w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
+	if !ok {
+		x.sayHop(w, j, refused(defaultRetryAfter, "owner does not know the class yet"))
+		return
+	}
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		x.sayHop(w, j, refused(0, "request was cut: %v", err))
+		return
+	}
+	j.body = b
+	if !x.valid() {
+		x.sayHop(w, j, refused(defaultRetryAfter, "owner holds no lease"))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-x.now())
+	defer cancel()
+	x.sayHop(w, j, x.own(ctx, j, a))
+}
+
+func (x *Entry) hopJob(r *http.Request) (*job, ownerAsk, bool) {
+	h := r.Header
+	j := &job{
+		id: model.RequestID(h.Get(wire.HeaderRequestID)), service: model.ServiceID(h.Get(headerService)),
+		method: h.Get(headerMethod), path: h.Get(headerPath), contentType: h.Get("Content-Type"),
+		home: model.RegionID(h.Get(wire.HeaderRegion)),
+	}
+	v := x.view.Load()
+	if v == nil {
+		return j, ownerAsk{}, false
+	}
+	cls, ok := v.catalogue.Class(j.service, model.ClassID(h.Get(headerClass)))
+	if !ok {
+		return j, ownerAsk{}, false
+	}
+	j.cls = cls
+	d, derr := number(h, wire.HeaderDeadline, 1)
+	n, nerr := number(h, wire.HeaderAttempt, 1)
+	t, terr := strconv.ParseUint(h.Get(headerTry), 10, tryBits)
+	j.deadline, j.attempt, j.try = x.now()+time.Duration(d)*time.Millisecond, n, t
+	a := ownerAsk{domain: model.FailureDomainID(h.Get(headerDomain)), shifted: h.Get(headerShifted) == "true"}
+	return j, a, derr == nil && nerr == nil && terr == nil
+}
+
+func (x *Entry) sayHop(w http.ResponseWriter, j *job, v verdict) {
+	h := w.Header()
+	h.Set(headerVerdict, string(v.kind))
+	h.Set(wire.HeaderTarget, string(v.target))
+	h.Set(headerLoad, strconv.Itoa(x.pools.get(j.service).InFlight()))
+	body := []byte(v.reason)
+	if v.kind == verdictAnswered {
+		body = v.answer.body
+		h.Set(headerStatus, strconv.Itoa(v.answer.status))
+		h.Set("Content-Type", v.answer.contentType)
+	}
+	h.Set(headerLeftover, strconv.FormatInt(v.retryAfter.Milliseconds(), 10))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	// A front that is gone is not told.
+	_, _ = w.Write(body)
+}
+
+// hopHandler serves the hop to those who have the deployment's key.
+func (x *Entry) hopHandler() echo.HandlerFunc {
+	return echo.WrapHandler(x.o.Key.Require(http.HandlerFunc(x.takeHop)))
+}
--- /dev/null
+++ b/internal/entry/limits.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/lease"
+	"github.com/eelgrassroad/eelgrassroad/internal/limit"
+	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// limits are this VM's shares of links and shift caps.
+type limits struct {
+	mu sync.RWMutex
+	m  map[string]*limit.Window
+}
+
+func (l *limits) get(name string) *limit.Window {
+	l.mu.RLock()
+	w, ok := l.m[name]
+	l.mu.RUnlock()
+	if ok {
+		return w
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.m == nil {
+		l.m = map[string]*limit.Window{}
+	}
+	if _, ok := l.m[name]; !ok {
+		l.m[name] = limit.NewWindow()
+	}
+	return l.m[name]
+}
+
+// set puts the shares of a grant in force. A resource without a share gets nothing.
+func (l *limits) set(shares []*eelpb.Share) {
+	named := make(map[string]bool, len(shares))
+	for _, s := range shares {
+		named[s.Resource] = true
+		l.get(s.Resource).SetLimit(s.Amount)
+	}
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for n, w := range l.m {
+		if !named[n] {
+			w.SetLimit(0)
+		}
+	}
+}
+
+func (l *limits) report(now time.Duration) (shares, demands []*eelpb.Share) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	for n, w := range l.m {
+		shares = append(shares, &eelpb.Share{Resource: n, Amount: w.Limit()})
+		if d := w.Demand(now); d > 0 {
+			demands = append(demands, &eelpb.Share{Resource: n, Amount: d})
+		}
+	}
+	return shares, demands
+}
+
+// permit is what a request has taken of links and shift caps.
+type permit struct {
+	taken []taken
+	// in is the window of the link that the answer comes over, if any.
+	in       *limit.Window
+	reserved int64
+}
+
+type taken struct {
+	w *limit.Window
+	n int64
+}
+
+// giveBack returns all that was taken for a request that was not sent.
+func (p *permit) giveBack(now time.Duration) {
+	for _, t := range p.taken {
+		t.w.Put(t.n, now)
+	}
+	p.taken = nil
+}
+
+// take takes from a window, or gives everything back and returns after how long it may fit.
+func (p *permit) take(w *limit.Window, n int64, now time.Duration) (time.Duration, bool) {
+	if w.Take(n, now) {
+		p.taken = append(p.taken, taken{w, n})
+		return 0, true
+	}
+	p.giveBack(now)
+	return w.Wait(n, now), false
+}
+
+// headerBytes is what the headers of a request or an answer take on a link.
+const headerBytes = 512
+
+// permit takes what a request to a site needs of shift caps and links.
+func (x *Entry) permit(c *model.Catalogue, j *job, s *steer.Site) (*permit, time.Duration, bool) {
+	now := x.now()
+	p := &permit{}
+	if s.Region != j.home {
+		for _, k := range c.CapsFor(j.service, j.home, s.Region) {
+			if wait, ok := p.take(x.limits.get(lease.CapResource(k.Name)), 1, now); !ok {
+				return nil, wait, false
+			}
+		}
+	}
+	here := c.RegionOf(x.o.Domain)
+	if _, ok := c.Link(here, s.Region); s.Region == here || !ok {
+		return p, 0, s.Region == here
+	}
+	out := x.limits.get(lease.LinkResource(here, s.Region))
+	if wait, ok := p.take(out, int64(len(j.body))+headerBytes, now); !ok {
+		return nil, wait, false
+	}
+	in := x.limits.get(lease.LinkResource(s.Region, here))
+	n := x.sizes.expect(j.service, j.cls) + headerBytes
+	if wait, ok := p.take(in, n, now); !ok {
+		return nil, wait, false
+	}
+	p.in, p.reserved = in, n-headerBytes
+	return p, 0, true
+}
+
+// linkUse returns how full the link to a region is.
+func (x *Entry) linkUse(c *model.Catalogue) func(model.RegionID) func() float64 {
+	here := c.RegionOf(x.o.Domain)
+	return func(r model.RegionID) func() float64 {
+		w := x.limits.get(lease.LinkResource(r, here))
+		return func() float64 { return w.Use(x.now()) }
+	}
+}
+
+const pacedChunk = 16 << 10
+
+// pacedReader reads an answer no faster than the link's share allows.
+type pacedReader struct {
+	ctx  context.Context
+	r    io.Reader
+	p    *permit
+	now  func() time.Duration
+	left int64
+}
+
+func (x *Entry) paced(ctx context.Context, r io.Reader, p *permit) io.Reader {
+	if p == nil || p.in == nil {
+		return r
+	}
+	return &pacedReader{ctx: ctx, r: r, p: p, now: x.now, left: p.reserved}
+}
+
+// Read reads at most one chunk and waits until the link's share covers it.
+func (r *pacedReader) Read(b []byte) (int, error) {
+	n, err := r.r.Read(b[:min(len(b), pacedChunk)])
+	r.left -= int64(n)
+	for r.left < 0 {
+		if r.p.in.Take(-r.left, r.now()) {
+			r.left = 0
+			break
+		}
+		sleep(r.ctx, max(time.Millisecond, r.p.in.Wait(-r.left, r.now())))
+		if r.ctx.Err() != nil {
+			return n, r.ctx.Err()
+		}
+	}
+	return n, err
+}
+
+// answerSizes remembers how large the answers of a class are.
+type answerSizes struct {
+	m sync.Map
+}
+
+type classKey struct {
+	service model.ServiceID
+	class   model.ClassID
+}
+
+const (
+	// firstAnswerBytes is assumed before an answer of the class was seen.
+	firstAnswerBytes = 4 << 10
+	sizeSmoothing    = 0.1
+)
+
+func (a *answerSizes) expect(s model.ServiceID, c model.Class) int64 {
+	if v, ok := a.m.Load(classKey{s, c.Name}); ok {
+		return v.(int64)
+	}
+	return min(firstAnswerBytes, c.MaxAnswerBytes)
+}
+
+func (a *answerSizes) observe(s model.ServiceID, c model.Class, n int64) {
+	old := a.expect(s, c)
+	a.m.Store(classKey{s, c.Name}, old+int64(sizeSmoothing*float64(n-old)))
+}
+
+// shiftMeters count what this VM dispatches under each shift cap as an owner.
+type shiftMeters struct {
+	l limits
+}
+
+// take counts a dispatch against the whole of the caps that bound it.
+func (s *shiftMeters) take(caps []model.ShiftCap, now time.Duration) bool {
+	for _, k := range caps {
+		w := s.l.get(k.Name)
+		w.SetLimit(k.PerSecond)
+		if !w.Take(1, now) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/owner.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+const (
+	// shiftJitter is how long after its permit a shifted request may be dispatched.
+	shiftJitter = 100 * time.Millisecond
+	// afterGrace is how long an answer is awaited after the deadline, to record it.
+	afterGrace = 5 * time.Second
+	// noTargetWait is when to come back where an owner has no ready target.
+	noTargetWait = 250 * time.Millisecond
+)
+
+// ownerAsk is what a front asks of an owner beside the request.
+type ownerAsk struct {
+	domain  model.FailureDomainID
+	shifted bool
+	permit  *permit
+}
+
+// own takes a slot of an own target and dispatches the request to it.
+func (x *Entry) own(ctx context.Context, j *job, a ownerAsk) verdict {
+	asked := x.now()
+	p := x.pools.get(j.service)
+	q := pool.Ask{Deadline: j.deadline, MaxQueued: j.cls.MaxQueued, Domain: a.domain}
+	if j.cls.Delivery == model.Deferrable {
+		q.Priority = pool.Deferred
+	}
+	if a.shifted {
+		q.MaxWait = shiftJitter
+	}
+	s, err := p.Acquire(ctx, q)
+	if err != nil {
+		return refusedBy(p, err)
+	}
+	ready := func() error { return x.mayDispatch(j, s, a, asked) }
+	if j.atMostOnce() {
+		return x.once(ctx, j, s, a, ready)
+	}
+	if err := ready(); err != nil {
+		s.Release()
+		return refused(noTargetWait, "%v", err)
+	}
+	return x.dispatch(ctx, j, s, a)
+}
+
+func refusedBy(p *pool.Pool, err error) verdict {
+	if fault.Is(err, pool.KindNoTarget) {
+		return refused(noTargetWait, "%v", err)
+	}
+	return refused(p.Wait(), "%v", err)
+}
+
+// mayDispatch checks, directly before a dispatch, what may have ended since the request was admitted.
+func (x *Entry) mayDispatch(j *job, s *pool.Slot, a ownerAsk, asked time.Duration) error {
+	if !x.valid() {
+		return errors.New("the lease of the owner is over")
+	}
+	if !s.Usable() {
+		return fmt.Errorf("target %q takes no new work", s.Target().ID)
+	}
+	now := x.now()
+	if now >= j.deadline {
+		return errors.New("the deadline has passed")
+	}
+	if !a.shifted {
+		return nil
+	}
+	if now > asked+2*shiftJitter {
+		return errors.New("the permit for the shift is too old")
+	}
+	v := x.view.Load()
+	caps := v.catalogue.CapsFor(j.service, j.home, v.catalogue.RegionOf(s.Target().Domain))
+	if !x.shifts.take(caps, now) {
+		return errors.New("the shift cap is full")
+	}
+	return nil
+}
+
+// dispatch sends the request to the target and reads its whole answer.
+func (x *Entry) dispatch(ctx context.Context, j *job, s *pool.Slot, a ownerAsk) verdict {
+	from := x.now()
+	r, res := x.exchange(ctx, j, s.Target(), a.permit)
+	r.target = s.Target().ID
+	if res == pool.Broken && ctx.Err() != nil {
+		res = pool.Cancelled
+	}
+	s.Done(res, x.now()-from)
+	return r
+}
+
+func (x *Entry) exchange(ctx context.Context, j *job, t pool.Target, p *permit) (verdict, pool.Result) {
+	q, err := http.NewRequestWithContext(ctx, j.method, "http://"+t.Addr+j.path, bytes.NewReader(j.body))
+	if err != nil {
+		return refused(0, "request cannot be made: %v", err), pool.Good
+	}
+	if j.contentType != "" {
+		q.Header.Set("Content-Type", j.contentType)
+	}
+	q.Header.Set(wire.HeaderRequestID, string(j.id))
+	q.Header.Set(wire.HeaderAttempt, strconv.FormatUint(j.attempt, 10))
+	q.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, (j.deadline-x.now()).Milliseconds()), 10))
+	q.Header.Set(wire.HeaderRegion, string(j.home))
+	res, err := x.back.Do(q)
+	if err != nil {
+		return broken("target %q: %v", t.ID, err), pool.Broken
+	}
+	defer res.Body.Close()
+	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(wire.HeaderShed) != "" {
+		return refused(x.pools.get(j.service).Wait(), "target %q sheds load", t.ID), pool.Shed
+	}
+	b, err := x.whole(ctx, j, res, p)
+	if err != nil {
+		return broken("target %q: %v", t.ID, err), pool.Broken
+	}
+	w := &answer{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: b}
+	return verdict{kind: verdictAnswered, answer: w}, pool.Good
+}
+
+// whole reads an answer, and fails where it is not known to be the whole answer to this request.
+func (x *Entry) whole(ctx context.Context, j *job, res *http.Response, p *permit) ([]byte, error) {
+	if id := res.Header.Get(wire.HeaderRequestID); id != string(j.id) {
+		return nil, fmt.Errorf("answer carries request id %q, not %q", id, j.id)
+	}
+	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
+		return nil, errors.New("answer has no length")
+	}
+	b, err := io.ReadAll(io.LimitReader(x.paced(ctx, res.Body, p), j.cls.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("answer was cut: %w", err)
+	}
+	if int64(len(b)) > j.cls.MaxAnswerBytes {
+		return nil, fmt.Errorf("answer is over %d bytes", j.cls.MaxAnswerBytes)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/entry/renew.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/go-kit/log/level"
+	"github.com/twitchtv/twirp"
+)
+
+// renewLoop keeps the lease alive.
+func (x *Entry) renewLoop(ctx context.Context) error {
+	t := time.NewTicker(renewEvery)
+	defer t.Stop()
+	for {
+		if !x.renewOnce(ctx) {
+			sleep(ctx, retryPause)
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		case <-x.renewNow:
+		}
+	}
+}
+
+// renewOnce asks for one renewal and puts it in force. The lease counts from
+// before the request was sent.
+func (x *Entry) renewOnce(ctx context.Context) bool {
+	if !x.valid() {
+		x.pools.own(nil)
+	}
+	q := x.renewal()
+	sent := x.now()
+	t, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	r, err := x.state.renew(t, q)
+	if err != nil {
+		x.refusal(err)
+		return false
+	}
+	if uint64(x.config.version()) < r.Version {
+		if err := x.pullFrom(t, r.Version); err != nil {
+			level.Debug(x.o.Log).Log("msg", "catalogue not pulled", "version", r.Version, "err", err)
+			return false
+		}
+	}
+	x.putInForce(r, sent)
+	return true
+}
+
+// duplicateAfter is how long an id that another process holds is asked for again.
+const duplicateAfter = 10 * time.Second
+
+// refusal logs why the lease was not renewed, and stops an entry whose settings
+// the leader refuses before it ever held a lease.
+func (x *Entry) refusal(err error) {
+	level.Debug(x.o.Log).Log("msg", "lease not renewed", "err", err)
+	var t twirp.Error
+	if !errors.As(err, &t) || x.view.Load() != nil {
+		return
+	}
+	unknown := t.Code() == twirp.InvalidArgument && x.config.version() > 0
+	duplicate := t.Code() == twirp.AlreadyExists && x.now() > duplicateAfter
+	if unknown || duplicate {
+		x.refuse(fault.Newf("entry.New", KindSetting, "%s", t.Msg()))
+	}
+}
+
+// refuse stops the entry for good; Refused tells why.
+func (x *Entry) refuse(err error) {
+	select {
+	case x.refused <- err:
+	default:
+	}
+}
+
+// renewal returns the report of this moment.
+func (x *Entry) renewal() *eelpb.RenewRequest {
+	x.lease.mu.Lock()
+	x.lease.sequence++
+	q := &eelpb.RenewRequest{
+		Vm: string(x.o.ID), Incarnation: x.lease.incarnation, Addr: x.o.Addr,
+		FailureDomain: string(x.o.Domain), Leaving: x.leaving.Load(),
+		Sequence: x.lease.sequence, SeenGrant: x.lease.grant,
+	}
+	x.lease.mu.Unlock()
+	q.Version = uint64(x.config.version())
+	q.Directory = x.directory.version()
+	q.Targets = x.heard.reports(x.now())
+	q.Shares, q.Demands = x.limits.report(x.now())
+	x.pools.each(func(s model.ServiceID, p *pool.Pool) {
+		for _, id := range p.Held() {
+			q.Held = append(q.Held, string(id))
+		}
+		for _, l := range p.Loads() {
+			q.Sites = append(q.Sites, &eelpb.SiteLoad{
+				Service: string(s), FailureDomain: string(l.Domain), Slots: uint32(l.Slots), InFlight: uint32(l.InFlight),
+				Queued: uint32(l.Queued), LatencyUs: uint32(l.Latency.Microseconds()), Targets: uint32(l.Targets),
+			})
+		}
+	})
+	return q
+}
+
+func (x *Entry) putInForce(r *eelpb.RenewReply, sent time.Duration) {
+	x.limits.set(r.Shares)
+	owned := map[model.ServiceID][]pool.Target{}
+	for _, t := range r.Owned {
+		s := model.ServiceID(t.Service)
+		owned[s] = append(owned[s], targetOf(t))
+	}
+	x.pools.own(owned)
+	x.heard.setOwners(r.Owners)
+	x.directory.apply(r, x.now())
+	x.rebuild()
+	x.lease.mu.Lock()
+	defer x.lease.mu.Unlock()
+	x.lease.until = sent + time.Duration(r.LeaseMs)*time.Millisecond
+	x.lease.grant = r.Grant
+}
+
+func targetOf(t *eelpb.TargetReport) pool.Target {
+	return pool.Target{
+		ID: model.TargetID(t.Id), Addr: t.Addr, Domain: model.FailureDomainID(t.FailureDomain),
+		Slots: int(t.Slots), Incarnation: t.Incarnation, Ready: t.Ready, Draining: t.Draining,
+	}
+}
+
+// rebuild makes a new table of sites from the catalogue and the directory.
+func (x *Entry) rebuild() {
+	c := x.config.catalogue()
+	if c == nil {
+		return
+	}
+	t := steer.NewTable(c, steer.Self{VM: x.o.ID, Domain: x.o.Domain, Gauge: x.gauges.get, Link: x.linkUse(c)}, x.directory.reports())
+	x.view.Store(&view{catalogue: c, table: t})
+	x.pools.each(func(s model.ServiceID, p *pool.Pool) {
+		p.SetWarmUp(c.Services[s].WarmUpMillis.Duration())
+		p.Drain(c.Drained)
+	})
+}
+
+// directory is the list of VMs that the leader keeps.
+type directory struct {
+	mu  sync.RWMutex
+	at  uint64
+	vms map[string]steer.Report
+}
+
+func (d *directory) version() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.at
+}
+
+func (d *directory) apply(r *eelpb.RenewReply, now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old := d.vms
+	d.vms = map[string]steer.Report{}
+	if !r.DirectoryFull {
+		for id, v := range old {
+			// What is not in the delta is as it was, by the leader's word of now.
+			v.HeardAt = now
+			d.vms[id] = v
+		}
+	}
+	for _, id := range r.RemovedVms {
+		delete(d.vms, id)
+	}
+	for _, v := range r.Vms {
+		d.vms[v.Id] = steer.Report{VM: v, HeardAt: now}
+	}
+	d.at = r.Directory
+}
+
+func (d *directory) reports() []steer.Report {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	out := make([]steer.Report, 0, len(d.vms))
+	for _, v := range d.vms {
+		out = append(out, v)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/server"
+	"github.com/twitchtv/twirp"
+)
+
+// stateClient asks the state replicas, the leader first.
+type stateClient struct {
+	mu       sync.Mutex
+	replicas []string
+	at       int
+	c        *http.Client
+	clients  map[string]eelpb.State
+}
+
+func newStateClient(o Options) *stateClient {
+	return &stateClient{
+		replicas: slices.Clone(o.Replicas), clients: map[string]eelpb.State{},
+		c: &http.Client{Transport: o.Key.Transport(newTransport(o.Dial))},
+	}
+}
+
+// current returns the replica that is thought to lead.
+func (s *stateClient) current() (string, eelpb.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client(s.replicas[s.at])
+}
+
+// follower returns a replica to read from: the one after the leader.
+func (s *stateClient) follower(turn int) (string, eelpb.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.client(s.replicas[(s.at+turn)%len(s.replicas)])
+}
+
+func (s *stateClient) client(addr string) (string, eelpb.State) {
+	c, ok := s.clients[addr]
+	if !ok {
+		c = eelpb.NewStateProtobufClient("http://"+addr, s.c)
+		s.clients[addr] = c
+	}
+	return addr, c
+}
+
+// failed turns to the leader that the error names, or to the next replica.
+func (s *stateClient) failed(addr string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replicas[s.at] != addr {
+		return
+	}
+	var t twirp.Error
+	if errors.As(err, &t) && t.Code() == twirp.FailedPrecondition {
+		if s.turnTo(t.Meta(server.MetaLeader)) {
+			return
+		}
+	}
+	s.at = (s.at + 1) % len(s.replicas)
+}
+
+func (s *stateClient) turnTo(leader string) bool {
+	if leader == "" || leader == s.replicas[s.at] {
+		return false
+	}
+	for i, r := range s.replicas {
+		if r == leader {
+			s.at = i
+			return true
+		}
+	}
+	s.replicas = append(s.replicas, leader)
+	s.at = len(s.replicas) - 1
+	return true
+}
+
+// renew asks once; the caller asks again.
+func (s *stateClient) renew(ctx context.Context, q *eelpb.RenewRequest) (*eelpb.RenewReply, error) {
+	addr, c := s.current()
+	r, err := c.Renew(ctx, q)
+	if err != nil {
+		s.failed(addr, err)
+		return nil, fault.New("entry.renew", KindNoState, err)
+	}
+	return r, nil
+}
+
+const (
+	claimTimeout = 700 * time.Millisecond
+	claimPause   = 20 * time.Millisecond
+)
+
+// claim asks until a leader has committed the operation or the context ends.
+func (s *stateClient) claim(ctx context.Context, o *eelpb.ClaimOp) (*eelpb.ClaimReply, error) {
+	for {
+		addr, c := s.current()
+		t, cancel := context.WithTimeout(ctx, claimTimeout)
+		r, err := c.Claim(t, o)
+		cancel()
+		if err == nil {
+			return r, nil
+		}
+		s.failed(addr, err)
+		sleep(ctx, claimPause)
+		if ctx.Err() != nil {
+			return nil, fault.New("entry.claim", KindNoState, err)
+		}
+	}
+}
+
+// misdirected turns to the leader that a replica named, or to the next replica.
+func (s *stateClient) misdirected(addr, leader string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.replicas[s.at] != addr || s.turnTo(leader) {
+		return
+	}
+	s.at = (s.at + 1) % len(s.replicas)
+}
--- /dev/null
+++ b/internal/fault/fault.go
@@ -0,0 +1,52 @@
+// Package fault gives every package of the project its error type: an error
+// with the operation that failed and a kind that callers can switch on.
+//
+// # Usage
+//
+//	type Kind string
+//
+//	type Error = fault.Error[Kind]
+//
+//	return fault.New("store.Open", KindLocked, err)
+//
+// Errors are wrapped with eris, so that a log can show where they came from.
+package fault
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
+
+// Error is an error of one package, told apart by the package's type of kinds.
+type Error[K ~string] struct {
+	Op   string
+	Kind K
+	Err  error
+}
+
+// New returns an error for the operation with the kind and the cause.
+func New[K ~string](op string, kind K, err error) error {
+	return &Error[K]{Op: op, Kind: kind, Err: eris.Wrap(err, op)}
+}
+
+// Newf returns an error for the operation with the kind and a formatted message.
+func Newf[K ~string](op string, kind K, format string, args ...any) error {
+	return &Error[K]{Op: op, Kind: kind, Err: eris.Errorf(format, args...)}
+}
+
+// Error returns the operation, the kind and the cause in one line.
+func (e *Error[K]) Error() string {
+	return e.Op + ": " + string(e.Kind) + ": " + eris.Cause(e.Err).Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error[K]) Unwrap() error {
+	return e.Err
+}
+
+// Is tells whether the error or one of its causes has the kind.
+func Is[K ~string](err error, kind K) bool {
+	var e *Error[K]
+	return errors.As(err, &e) && e.Kind == kind
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,129 @@
+// Package guard lets the processes of one deployment prove to each other that
+// they share its key, and operators prove who they are.
+//
+// A request carries the time it was signed at and an HMAC-SHA-256 over method,
+// path, time and body. The key itself never leaves a process.
+//
+// # Usage
+//
+//	k := guard.NewKey(secret)
+//	client := &http.Client{Transport: k.Transport(http.DefaultTransport)}
+//	server := k.Require(handler)
+package guard
+
+import (
+	"bytes"
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	headerTime = "Eel-Signed-At"
+	headerMAC  = "Eel-Signature"
+	// maxSkew is how far two VMs' wall clocks may differ.
+	maxSkew = 5 * time.Minute
+	// maxSignedBytes bounds the body of a signed request.
+	maxSignedBytes = 256 << 20
+)
+
+// Key is the key that the processes of a deployment share.
+type Key struct {
+	secret []byte
+}
+
+// NewKey returns the key for a secret.
+func NewKey(secret string) *Key {
+	return &Key{secret: []byte(secret)}
+}
+
+func (k *Key) mac(method, path, at string, body []byte) string {
+	h := hmac.New(sha256.New, k.secret)
+	sum := sha256.Sum256(body)
+	fmt.Fprintf(h, "%s\n%s\n%s\n%x", method, path, at, sum)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// Transport returns a transport that signs each request.
+func (k *Key) Transport(next http.RoundTripper) http.RoundTripper {
+	return signer{k: k, next: next}
+}
+
+type signer struct {
+	k    *Key
+	next http.RoundTripper
+}
+
+// RoundTrip signs the request and sends it.
+func (s signer) RoundTrip(r *http.Request) (*http.Response, error) {
+	var body []byte
+	if r.Body != nil {
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return nil, err
+		}
+		body = b
+		if err := r.Body.Close(); err != nil {
+			return nil, err
+		}
+	}
+	c := r.Clone(r.Context())
+	if body != nil {
+		c.Body = io.NopCloser(bytes.NewReader(body))
+		c.ContentLength = int64(len(body))
+	}
+	at := strconv.FormatInt(time.Now().Unix(), 10)
+	c.Header.Set(headerTime, at)
+	c.Header.Set(headerMAC, s.k.mac(r.Method, r.URL.RequestURI(), at, body))
+	return s.next.RoundTrip(c)
+}
+
+// Require returns a handler that passes on only requests signed with the key.
+func (k *Key) Require(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSignedBytes))
+		if err != nil {
+			http.Error(w, "request body cannot be read: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		if err := k.verify(r, body); err != nil {
+			http.Error(w, err.Error(), http.StatusUnauthorized)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (k *Key) verify(r *http.Request, body []byte) error {
+	at := r.Header.Get(headerTime)
+	t, err := strconv.ParseInt(at, 10, 64)
+	if err != nil {
+		return fmt.Errorf("header %s is missing or no number of seconds", headerTime)
+	}
+	if d := time.Since(time.Unix(t, 0)).Abs(); d > maxSkew {
+		return fmt.Errorf("request was signed %s away from this VM's clock, more than %s", d, maxSkew)
+	}
+	want := k.mac(r.Method, r.URL.RequestURI(), at, body)
+	if !hmac.Equal([]byte(want), []byte(r.Header.Get(headerMAC))) {
+		return fmt.Errorf("signature does not match the deployment's key")
+	}
+	return nil
+}
+
+// HashToken returns the SHA-256 of a token in hexadecimal, as the catalogue keeps it.
+func HashToken(token string) string {
+	s := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(s[:])
+}
+
+// SameToken compares a token with a hash in constant time.
+func SameToken(token, hash string) bool {
+	return subtle.ConstantTimeCompare([]byte(HashToken(token)), []byte(hash)) == 1
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,292 @@
+// Package lease decides what each entry VM may rely on: which targets it owns,
+// and its share of each inter-region link and of each shift cap. All of it has
+// one expiry, so that a VM that is cut off holds nothing after a known time.
+//
+// The grantor is pure: it is told the time and what an entry reports, and
+// returns the grant. It keeps three rules:
+//
+//   - a target has one owner at any time: it moves only once the old owner has
+//     confirmed that it let go, or once its lease is over by every clock;
+//   - the shares of a resource never add up to more than its capacity, and a
+//     share that was given back rests for one window before another VM gets it;
+//   - a new grantor confirms what entries hold and grants nothing else until
+//     all that its predecessor may have granted is over.
+//
+// # Usage
+//
+//	g := lease.New(lease.Options{}, now, epoch)
+//	reply, err := g.Renew(request, catalogue, now)
+//
+// The method is that of Gray and Cheriton, "Leases: An Efficient Fault-Tolerant
+// Mechanism for Distributed File Cache Consistency" (1989).
+package lease
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindDuplicate Kind = "duplicateVM"
+	KindUnknown   Kind = "unknownFailureDomain"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// DefaultLength is how long a lease lasts from the moment its renewal was sent.
+	DefaultLength = 2500 * time.Millisecond
+	// clockRateBound divides a lease to give what clocks may drift apart in it.
+	clockRateBound = 50
+	// shareWindow is the window in which rates are counted, with the jitter of deliveries.
+	shareWindow = 1200 * time.Millisecond
+	// targetLife is how long a target that no entry reports is remembered.
+	targetLife = 10 * time.Second
+)
+
+// Options are the settings of a grantor.
+type Options struct {
+	Length time.Duration
+}
+
+// Grantor is the state of one leader's leases. It is not safe for concurrent use.
+type Grantor struct {
+	length  time.Duration
+	quietTo time.Duration
+	grant   uint64
+	dir     directory
+	vms     map[model.VMID]*vm
+	targets map[model.TargetID]*target
+	shares  map[string]*resource
+}
+
+type vm struct {
+	id          model.VMID
+	incarnation uint64
+	addr        string
+	domain      model.FailureDomainID
+	version     uint64
+	leaving     bool
+	expires     time.Duration
+	sites       []*eelpb.SiteLoad
+}
+
+type target struct {
+	report *eelpb.TargetReport
+	heard  time.Duration
+	owner  model.VMID
+	// leavingIn is the first grant that no longer named the target to its owner, or 0.
+	leavingIn uint64
+}
+
+// New returns a grantor that starts at now. The epoch is higher for each new
+// grantor of a group, so that versions of its directory never repeat.
+func New(o Options, now time.Duration, epoch uint64) *Grantor {
+	if o.Length == 0 {
+		o.Length = DefaultLength
+	}
+	g := &Grantor{
+		length: o.Length, vms: map[model.VMID]*vm{}, targets: map[model.TargetID]*target{},
+		shares: map[string]*resource{}, dir: newDirectory(epoch),
+	}
+	g.quietTo = now + g.held()
+	g.grant = epoch << epochShift
+	return g
+}
+
+// held is how long a grant may be relied on, by any clock.
+func (g *Grantor) held() time.Duration {
+	return g.length + g.length/clockRateBound
+}
+
+// Quiet tells whether grants of a predecessor may still be in force.
+func (g *Grantor) Quiet(now time.Duration) bool {
+	return now < g.quietTo
+}
+
+// Renew takes an entry's report and returns what it may rely on.
+func (g *Grantor) Renew(r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (*eelpb.RenewReply, error) {
+	g.expire(now)
+	v, err := g.admit(r, c, now)
+	if err != nil {
+		return nil, err
+	}
+	g.hear(r, now)
+	g.release(v, r)
+	if r.Closing {
+		g.drop(v, now)
+		return &eelpb.RenewReply{}, nil
+	}
+	g.confirm(v, r, now)
+	if !g.Quiet(now) {
+		g.assign(c)
+	}
+	g.grant++
+	a := &eelpb.RenewReply{LeaseMs: g.length.Milliseconds(), Grant: g.grant, Version: uint64(c.Version)}
+	a.Owned = g.ownedBy(v, r, now)
+	a.Shares = g.share(v, r, c, now)
+	a.Owners = g.ownersOf(r)
+	g.dir.fill(a, r.Directory)
+	return a, nil
+}
+
+func (g *Grantor) admit(r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (*vm, error) {
+	const op = "lease.Renew"
+	id := model.VMID(r.Vm)
+	d := model.FailureDomainID(r.FailureDomain)
+	if _, ok := c.Domains[d]; !ok {
+		return nil, fault.Newf(op, KindUnknown, "failure domain %q of VM %q is not in the catalogue", d, id)
+	}
+	v, ok := g.vms[id]
+	if ok && v.incarnation != r.Incarnation {
+		return nil, fault.Newf(op, KindDuplicate, "VM id %q is held by another process for %s more", id, v.expires-now)
+	}
+	if !ok {
+		v = &vm{id: id, incarnation: r.Incarnation}
+		g.vms[id] = v
+	}
+	v.addr, v.domain, v.version, v.leaving = r.Addr, d, r.Version, r.Leaving
+	v.sites = r.Sites
+	v.expires = now + g.held()
+	g.dir.put(v)
+	return v, nil
+}
+
+// hear takes the targets that the entry has heard.
+func (g *Grantor) hear(r *eelpb.RenewRequest, now time.Duration) {
+	for _, t := range r.Targets {
+		id := model.TargetID(t.Id)
+		x, ok := g.targets[id]
+		if !ok {
+			x = &target{}
+			g.targets[id] = x
+		}
+		if x.report == nil || t.Incarnation >= x.report.Incarnation {
+			x.report = t
+		}
+		x.heard = now
+	}
+}
+
+// release frees the targets that the entry has let go of.
+func (g *Grantor) release(v *vm, r *eelpb.RenewRequest) {
+	for id, t := range g.targets {
+		if t.owner != v.id || t.leavingIn == 0 || r.SeenGrant < t.leavingIn {
+			continue
+		}
+		if !slices.Contains(r.Held, string(id)) {
+			t.owner, t.leavingIn = "", 0
+		}
+	}
+}
+
+// confirm lets an entry keep what it holds under a former grantor.
+func (g *Grantor) confirm(v *vm, r *eelpb.RenewRequest, now time.Duration) {
+	if !g.Quiet(now) {
+		return
+	}
+	for _, h := range r.Held {
+		t, ok := g.targets[model.TargetID(h)]
+		if ok && t.owner == "" {
+			t.owner = v.id
+		}
+	}
+}
+
+// ownedBy returns the targets that the entry may dispatch to.
+func (g *Grantor) ownedBy(v *vm, r *eelpb.RenewRequest, now time.Duration) []*eelpb.TargetReport {
+	var out []*eelpb.TargetReport
+	for id, t := range g.targets {
+		if t.owner != v.id || t.leavingIn != 0 {
+			continue
+		}
+		if g.Quiet(now) && !slices.Contains(r.Held, string(id)) {
+			continue
+		}
+		out = append(out, t.report)
+	}
+	return out
+}
+
+func (g *Grantor) ownersOf(r *eelpb.RenewRequest) []*eelpb.TargetOwner {
+	var out []*eelpb.TargetOwner
+	for _, t := range r.Targets {
+		x := g.targets[model.TargetID(t.Id)]
+		if v, ok := g.vms[x.owner]; ok {
+			out = append(out, &eelpb.TargetOwner{Target: t.Id, Vm: string(v.id), Addr: v.addr})
+		}
+	}
+	return out
+}
+
+// expire forgets VMs whose lease is over by every clock, and targets that nobody hears.
+func (g *Grantor) expire(now time.Duration) {
+	for _, v := range g.vms {
+		if now >= v.expires {
+			g.drop(v, now)
+		}
+	}
+	for id, t := range g.targets {
+		if t.owner == "" && now >= t.heard+targetLife {
+			delete(g.targets, id)
+		}
+	}
+}
+
+func (g *Grantor) drop(v *vm, now time.Duration) {
+	delete(g.vms, v.id)
+	g.dir.remove(v.id)
+	for _, t := range g.targets {
+		if t.owner == v.id {
+			t.owner, t.leavingIn = "", 0
+		}
+	}
+	for _, s := range g.shares {
+		s.drop(v.id, now)
+	}
+}
+
+// VMs returns the VMs that hold a lease.
+func (g *Grantor) VMs() []*eelpb.VM {
+	return g.dir.all()
+}
+
+// TargetStatus is what operators see of a target.
+type TargetStatus struct {
+	ID            model.TargetID        `json:"id"`
+	Service       model.ServiceID       `json:"service"`
+	FailureDomain model.FailureDomainID `json:"failureDomain"`
+	Addr          string                `json:"addr"`
+	Slots         uint32                `json:"slots"`
+	Owner         model.VMID            `json:"owner"`
+	Ready         bool                  `json:"ready"`
+	Draining      bool                  `json:"draining"`
+}
+
+// Targets returns the targets that are known.
+func (g *Grantor) Targets() []TargetStatus {
+	out := make([]TargetStatus, 0, len(g.targets))
+	for id, t := range g.targets {
+		out = append(out, TargetStatus{
+			ID: id, Service: model.ServiceID(t.report.Service), Addr: t.report.Addr, Slots: t.report.Slots,
+			FailureDomain: model.FailureDomainID(t.report.FailureDomain), Owner: t.owner,
+			Ready: t.report.Ready, Draining: t.report.Draining,
+		})
+	}
+	slices.SortFunc(out, func(a, b TargetStatus) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/lease/share.go
@@ -0,0 +1,167 @@
+package lease
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// idleDemand is the demand that a VM without any is counted with, as a part of the capacity.
+const idleDemand = 50
+
+// LinkResource names one direction of a link.
+func LinkResource(from, to model.RegionID) string {
+	return fmt.Sprintf("link/%s/%s", from, to)
+}
+
+// CapResource names a shift cap.
+func CapResource(name string) string {
+	return "shiftCap/" + name
+}
+
+// resource is a capacity that is divided among VMs.
+type resource struct {
+	capacity int64
+	granted  map[model.VMID]*holding
+	resting  []rest
+}
+
+// holding is what a VM may be using: all amounts since the last that it confirmed.
+type holding struct {
+	amounts []amount
+	demand  int64
+}
+
+type amount struct {
+	grant uint64
+	n     int64
+}
+
+// rest is an amount that was given back and may still be in a running window.
+type rest struct {
+	until time.Duration
+	n     int64
+}
+
+func (h *holding) max() int64 {
+	var m int64
+	for _, a := range h.amounts {
+		m = max(m, a.n)
+	}
+	return m
+}
+
+// capacities lists the resources of a catalogue.
+func capacities(c *model.Catalogue) map[string]int64 {
+	m := make(map[string]int64, 2*len(c.Links)+len(c.Caps))
+	for _, l := range c.Links {
+		m[LinkResource(l.Regions[0], l.Regions[1])] = int64(l.BytesPerSecond)
+		m[LinkResource(l.Regions[1], l.Regions[0])] = int64(l.BytesPerSecond)
+	}
+	for _, s := range c.Caps {
+		m[CapResource(s.Name)] = s.PerSecond
+	}
+	return m
+}
+
+// share divides each resource anew for one VM.
+func (g *Grantor) share(v *vm, r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) []*eelpb.Share {
+	demands := byName(r.Demands)
+	reported := byName(r.Shares)
+	var out []*eelpb.Share
+	for name, capacity := range capacities(c) {
+		s, ok := g.shares[name]
+		if !ok {
+			s = &resource{granted: map[model.VMID]*holding{}}
+			g.shares[name] = s
+		}
+		s.capacity = capacity
+		limit := int64(-1)
+		if g.Quiet(now) {
+			limit = reported[name]
+		}
+		n := s.grant(v.id, demands[name], limit, r.SeenGrant, g.grant, now)
+		out = append(out, &eelpb.Share{Resource: name, Amount: n})
+	}
+	return out
+}
+
+func byName(s []*eelpb.Share) map[string]int64 {
+	m := make(map[string]int64, len(s))
+	for _, x := range s {
+		m[x.Resource] = x.Amount
+	}
+	return m
+}
+
+// grant returns the VM's new amount; a limit of 0 or more bounds it.
+func (s *resource) grant(id model.VMID, demand, limit int64, seen, number uint64, now time.Duration) int64 {
+	h, ok := s.granted[id]
+	if !ok {
+		h = &holding{}
+		s.granted[id] = h
+	}
+	h.demand = max(demand, 0)
+	s.confirm(h, seen, now)
+	n := min(s.fair(h), s.free(id, now))
+	if limit >= 0 {
+		n = min(n, limit)
+	}
+	n = max(n, 0)
+	h.amounts = append(h.amounts, amount{grant: number, n: n})
+	return n
+}
+
+// confirm forgets the amounts before the grant that the VM has in force, and
+// lets what it gave back rest for a window.
+func (s *resource) confirm(h *holding, seen uint64, now time.Duration) {
+	before := h.max()
+	i := 0
+	for i < len(h.amounts)-1 && h.amounts[i+1].grant <= seen {
+		i++
+	}
+	h.amounts = append([]amount(nil), h.amounts[i:]...)
+	if d := before - h.max(); d > 0 {
+		s.resting = append(s.resting, rest{until: now + shareWindow, n: d})
+	}
+}
+
+// fair returns the VM's part of the capacity by its demand.
+func (s *resource) fair(h *holding) int64 {
+	idle := s.capacity/idleDemand + 1
+	total := int64(0)
+	for _, x := range s.granted {
+		total += x.demand + idle
+	}
+	return int64(float64(s.capacity) * float64(h.demand+idle) / float64(total))
+}
+
+// free returns the capacity that no other VM may be using.
+func (s *resource) free(id model.VMID, now time.Duration) int64 {
+	n := s.capacity
+	for v, h := range s.granted {
+		if v != id {
+			n -= h.max()
+		}
+	}
+	kept := s.resting[:0]
+	for _, r := range s.resting {
+		if now < r.until {
+			n -= r.n
+			kept = append(kept, r)
+		}
+	}
+	s.resting = kept
+	return n
+}
+
+func (s *resource) drop(id model.VMID, now time.Duration) {
+	h, ok := s.granted[id]
+	if !ok {
+		return
+	}
+	delete(s.granted, id)
+	s.resting = append(s.resting, rest{until: now + shareWindow, n: h.max()})
+}
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,178 @@
+// Package limit counts what is used of a rate in a sliding window, so that no
+// window of one second at a distant observer sees more than the rate.
+//
+// # Usage
+//
+//	w := limit.NewWindow()
+//	w.SetLimit(20, now)
+//	ok := w.Take(1, now)
+//
+// A window is a little longer than a second: what leaves within one second may
+// arrive within less where delays vary.
+package limit
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	slotLength = 50 * time.Millisecond
+	slots      = 24
+	// Length is the length of a window.
+	Length = slotLength * slots
+)
+
+// Window counts what was taken in the last Length. It is safe for concurrent use.
+type Window struct {
+	mu     sync.Mutex
+	limit  int64
+	used   [slots]int64
+	sum    int64
+	head   int64
+	denied int64
+	seen   [2]int64
+	tick   int64
+}
+
+// NewWindow returns a window with a limit of 0.
+func NewWindow() *Window {
+	return &Window{}
+}
+
+// SetLimit sets the most that may be taken in a window.
+func (w *Window) SetLimit(n int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.limit = n
+}
+
+// Limit returns the limit.
+func (w *Window) Limit() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.limit
+}
+
+func (w *Window) advance(now time.Duration) {
+	at := int64(now / slotLength)
+	if at-w.head >= slots {
+		w.used, w.sum, w.head = [slots]int64{}, 0, at
+		return
+	}
+	for w.head < at {
+		w.head++
+		w.sum -= w.used[w.head%slots]
+		w.used[w.head%slots] = 0
+	}
+}
+
+// rollDemand starts a new second of demand.
+func (w *Window) rollDemand(now time.Duration) {
+	s := int64(now / time.Second)
+	if s == w.tick {
+		return
+	}
+	if s > w.tick+1 {
+		w.seen[0] = 0
+	} else {
+		w.seen[0] = w.seen[1]
+	}
+	w.seen[1], w.tick = 0, s
+}
+
+// Take takes n if the window has room for it.
+func (w *Window) Take(n int64, now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.rollDemand(now)
+	w.seen[1] += n
+	if w.sum+n > w.limit {
+		w.denied++
+		return false
+	}
+	w.add(n)
+	return true
+}
+
+func (w *Window) add(n int64) {
+	w.used[w.head%slots] += n
+	w.sum += n
+}
+
+// Put gives back what was taken and not used.
+func (w *Window) Put(n int64, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	i := w.head % slots
+	n = min(n, w.used[i])
+	w.used[i] -= n
+	w.sum -= n
+}
+
+// Use returns the used part of the limit, from 0 to 1; a limit of 0 is full.
+func (w *Window) Use(now time.Duration) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	if w.limit <= 0 {
+		return 1
+	}
+	return min(1, float64(w.sum)/float64(w.limit))
+}
+
+// Demand returns what was asked for in the last whole second or in this one.
+func (w *Window) Demand(now time.Duration) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rollDemand(now)
+	return max(w.seen[0], w.seen[1])
+}
+
+// Wait returns after how long n may fit, at most Length.
+func (w *Window) Wait(n int64, now time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	free := w.limit - w.sum
+	for i := int64(1); i <= slots; i++ {
+		if free >= n {
+			return time.Duration(i-1) * slotLength
+		}
+		free += w.used[(w.head+i)%slots]
+	}
+	return Length
+}
+
+// Budget bounds retries to a part of the requests (a token bucket).
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+	ratio  float64
+	most   float64
+}
+
+// NewBudget returns a budget that earns ratio of a retry for each request and saves up to most.
+func NewBudget(ratio, most float64) *Budget {
+	return &Budget{tokens: most, ratio: ratio, most: most}
+}
+
+// Earn counts one first try.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.most, b.tokens+b.ratio)
+}
+
+// Spend takes one retry if there is one.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,29 @@
+// Package logs makes the loggers of the programs: JSON lines by go-kit/log.
+//
+// # Usage
+//
+//	l, err := logs.New(os.Stderr, "info", "eelentry", "attiki-a1")
+//	level.Info(l).Log("msg", "lease granted", "until", t)
+package logs
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Levels are the levels that New knows.
+const Levels = "debug, info, warn, error"
+
+// New returns a logger that writes lines of at least the level.
+func New(w io.Writer, lowest, program, id string) (log.Logger, error) {
+	v, err := level.Parse(lowest)
+	if err != nil {
+		return nil, fmt.Errorf("level %q is not one of %s", lowest, Levels)
+	}
+	l := log.NewJSONLogger(log.NewSyncWriter(w))
+	l = level.NewFilter(l, level.Allow(v))
+	return log.With(l, "ts", log.DefaultTimestampUTC, "program", program, "id", id), nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,449 @@
+// Package node runs one state replica: it drives the consensus core with the
+// store, the clock and the messages of its peers, and applies committed
+// commands to the state machine.
+//
+// # Usage
+//
+//	n, err := node.New(node.Options{ID: 1, Dir: dir, Peers: peers, Send: send, Log: l})
+//	r, err := n.Propose(ctx, command)
+//	err = n.Close()
+//
+// A new group forms once, when all its first replicas answer and none of them
+// holds anything. From then on a replica with an empty disk is a stranger until
+// an operator replaces it.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/group"
+	"github.com/eelgrassroad/eelgrassroad/internal/raft"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
+	"github.com/eelgrassroad/eelgrassroad/internal/store"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindNotLeader Kind = "notLeader"
+	KindLost      Kind = "outcomeUnknown"
+	KindStopped   Kind = "stopped"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	tickInterval = 10 * time.Millisecond
+	// snapshotBytes is the size of the log file at which a snapshot replaces it.
+	snapshotBytes = 16 << 20
+	// maxBatch bounds the commands that one sync makes durable.
+	maxBatch   = 512
+	inboxSize  = 4096
+	outboxSize = 1024
+)
+
+// Peer is another replica as the settings name it.
+type Peer struct {
+	ID   raft.ReplicaID
+	Addr string
+}
+
+// Transport carries messages to a replica.
+type Transport interface {
+	Send(ctx context.Context, addr string, m []*eelpb.Message) error
+	Identify(ctx context.Context, addr string) (*eelpb.IdentifyReply, error)
+}
+
+// Options are the settings of a replica.
+type Options struct {
+	ID        raft.ReplicaID
+	Dir       string
+	Addr      string
+	Peers     []Peer
+	Transport Transport
+	Limits    state.Limits
+	Log       log.Logger
+	// SnapshotBytes overrides the size of the log file at which a snapshot is made.
+	SnapshotBytes int64
+}
+
+type proposal struct {
+	data []byte
+	done chan outcome
+}
+
+type outcome struct {
+	result state.Result
+	err    error
+}
+
+type waiter struct {
+	term raft.Term
+	done chan outcome
+}
+
+// Node is one running replica.
+type Node struct {
+	o        Options
+	g        *group.Group
+	st       *store.Store
+	identity store.Identity
+	machine  *state.Machine
+	start    time.Time
+
+	mu       sync.Mutex
+	r        *raft.Raft
+	hard     *eelpb.HardState
+	snapshot *eelpb.Snapshot
+	waiters  map[raft.Index]waiter
+
+	inbox     chan *eelpb.Message
+	proposals chan proposal
+	calls     chan func()
+	outboxes  sync.Map
+	commits   atomic.Int64
+	syncs     atomic.Int64
+}
+
+// New opens the replica's folder and starts it.
+func New(o Options) (*Node, error) {
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = snapshotBytes
+	}
+	st, d, err := store.Open(store.OS(), o.Dir, uint64(o.ID), rand.Uint64)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		o: o, st: st, identity: d.Identity, machine: state.New(o.Limits), start: time.Now(),
+		waiters: map[raft.Index]waiter{}, inbox: make(chan *eelpb.Message, inboxSize),
+		proposals: make(chan proposal, maxBatch), calls: make(chan func()),
+		snapshot: d.Snapshot, hard: d.Hard,
+	}
+	if d.CutBytes > 0 {
+		level.Warn(o.Log).Log("msg", "cut the torn tail of the log", "bytes", d.CutBytes)
+	}
+	if err := n.restore(d.Snapshot); err != nil {
+		return nil, err
+	}
+	n.r = raft.New(n.raftConfig(), raft.Restored{Hard: d.Hard, Snapshot: d.Snapshot, Entries: d.Entries}, n.Now())
+	n.g = group.New(context.Background())
+	n.g.Go(n.run)
+	if !n.r.Formed() {
+		n.g.Go(n.form)
+	}
+	return n, nil
+}
+
+func (n *Node) raftConfig() raft.Config {
+	return raft.Config{
+		ID: n.o.ID, Incarnation: raft.Incarnation(n.identity.Incarnation),
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+func (n *Node) restore(s *eelpb.Snapshot) error {
+	if s == nil {
+		return nil
+	}
+	i := &eelpb.StateImage{}
+	if err := proto.Unmarshal(s.Data, i); err != nil {
+		return fault.New("node.restore", KindStopped, err)
+	}
+	n.machine.Restore(i)
+	return nil
+}
+
+// Now returns the monotonic time since the node started.
+func (n *Node) Now() time.Duration {
+	return time.Since(n.start)
+}
+
+// Machine returns the state machine.
+func (n *Node) Machine() *state.Machine { return n.machine }
+
+// Close stops the replica.
+func (n *Node) Close() error {
+	err := n.g.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.failWaiters()
+	if e := n.st.Close(); err == nil {
+		err = e
+	}
+	return err
+}
+
+// Done returns a channel that is closed when the replica has stopped by itself.
+func (n *Node) Done() <-chan struct{} { return n.g.Context().Done() }
+
+func (n *Node) run(ctx context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			n.locked(func() { n.r.Tick(n.Now()) })
+		case m := <-n.inbox:
+			n.locked(func() { n.stepAll(m) })
+		case p := <-n.proposals:
+			n.locked(func() { n.proposeAll(p) })
+		case f := <-n.calls:
+			n.locked(f)
+		}
+		if err := n.drain(); err != nil {
+			level.Error(n.o.Log).Log("msg", "replica stops", "err", err)
+			return err
+		}
+	}
+}
+
+func (n *Node) locked(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func (n *Node) stepAll(m *eelpb.Message) {
+	n.r.Tick(n.Now())
+	n.r.Step(m, n.Now())
+	for range len(n.inbox) {
+		n.r.Step(<-n.inbox, n.Now())
+	}
+}
+
+// proposeAll appends all proposals that wait, so that one sync serves them.
+func (n *Node) proposeAll(p proposal) {
+	n.r.Tick(n.Now())
+	batch := []proposal{p}
+	for len(batch) < maxBatch && len(n.proposals) > 0 {
+		batch = append(batch, <-n.proposals)
+	}
+	data := make([][]byte, 0, len(batch))
+	for _, b := range batch {
+		data = append(data, b.data)
+	}
+	first, err := n.r.Propose(data...)
+	if err != nil {
+		for _, b := range batch {
+			b.done <- outcome{err: n.notLeader("node.Propose")}
+		}
+		return
+	}
+	for i, b := range batch {
+		n.waiters[first+raft.Index(i)] = waiter{term: n.r.Term(), done: b.done}
+	}
+}
+
+// drain does what the core asks for until it asks for nothing.
+func (n *Node) drain() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.r.HasReady() {
+		d := n.r.Ready()
+		if err := n.save(d); err != nil {
+			return err
+		}
+		n.sendAll(d.Messages)
+		if err := n.applyAll(d.Committed); err != nil {
+			return err
+		}
+		n.r.Advance(d)
+	}
+	if n.r.Role() != raft.Leader {
+		n.failWaiters()
+	}
+	return n.maybeSnapshot()
+}
+
+func (n *Node) save(d raft.Ready) error {
+	if d.Hard != nil {
+		n.hard = d.Hard
+	}
+	if d.Snapshot != nil {
+		n.snapshot = d.Snapshot
+		if err := n.st.SaveSnapshot(d.Snapshot, n.hard, d.Entries); err != nil {
+			return err
+		}
+		return n.restore(d.Snapshot)
+	}
+	if d.Hard == nil && len(d.Entries) == 0 {
+		return nil
+	}
+	n.syncs.Add(1)
+	return n.st.Save(d.Hard, d.Entries)
+}
+
+func (n *Node) applyAll(entries []*eelpb.LogEntry) error {
+	for _, e := range entries {
+		n.commits.Add(1)
+		var res state.Result
+		if e.Kind == eelpb.EntryKind_ENTRY_COMMAND {
+			c := &eelpb.Command{}
+			if err := proto.Unmarshal(e.Data, c); err != nil {
+				return fault.Newf("node.apply", KindStopped, "entry %d does not decode: %v", e.Index, err)
+			}
+			res = n.machine.Apply(c)
+		}
+		i := raft.Index(e.Index)
+		w, ok := n.waiters[i]
+		if !ok {
+			continue
+		}
+		delete(n.waiters, i)
+		if w.term != raft.Term(e.Term) {
+			w.done <- outcome{err: lost()}
+			continue
+		}
+		w.done <- outcome{result: res}
+	}
+	return nil
+}
+
+func lost() error {
+	return fault.Newf("node.Propose", KindLost, "leadership changed before the command was committed")
+}
+
+// failWaiters tells those who wait that this replica will not learn their outcome as leader.
+func (n *Node) failWaiters() {
+	for i, w := range n.waiters {
+		w.done <- outcome{err: lost()}
+		delete(n.waiters, i)
+	}
+}
+
+func (n *Node) maybeSnapshot() error {
+	if n.st.Size() < n.o.SnapshotBytes || n.r.Applied() <= raft.Index(n.snapshot.GetIndex()) {
+		return nil
+	}
+	b, err := proto.Marshal(n.machine.Image())
+	if err != nil {
+		return fault.New("node.snapshot", KindStopped, err)
+	}
+	i := n.r.Applied()
+	s := &eelpb.Snapshot{Index: uint64(i), Term: uint64(n.r.TermAt(i)), Membership: n.r.MembershipAt(i), Data: b}
+	if err := n.st.SaveSnapshot(s, n.hard, n.r.EntriesAfter(i)); err != nil {
+		return err
+	}
+	n.snapshot = s
+	n.r.Compact(i)
+	level.Debug(n.o.Log).Log("msg", "made a snapshot", "index", i, "bytes", len(b))
+	return nil
+}
+
+func (n *Node) sendAll(messages []*eelpb.Message) {
+	for _, m := range messages {
+		if m.Kind == eelpb.MessageKind_MESSAGE_SNAPSHOT {
+			m.Snapshot = n.snapshot
+		}
+		addr := n.addrOf(raft.ReplicaID(m.To))
+		if addr == "" {
+			continue
+		}
+		select {
+		case n.outbox(addr) <- m:
+		default: // The peer is slow or gone; the core sends again.
+		}
+	}
+}
+
+func (n *Node) addrOf(id raft.ReplicaID) string {
+	for _, m := range n.r.Members().GetMembers() {
+		if raft.ReplicaID(m.Id) == id {
+			return m.Addr
+		}
+	}
+	for _, p := range n.o.Peers {
+		if p.ID == id {
+			return p.Addr
+		}
+	}
+	return ""
+}
+
+// outbox returns the queue of messages for an address, and starts its sender.
+func (n *Node) outbox(addr string) chan *eelpb.Message {
+	if c, ok := n.outboxes.Load(addr); ok {
+		return c.(chan *eelpb.Message)
+	}
+	c := make(chan *eelpb.Message, outboxSize)
+	n.outboxes.Store(addr, c)
+	n.g.Go(func(ctx context.Context) error {
+		n.sendLoop(ctx, addr, c)
+		return nil
+	})
+	return c
+}
+
+const (
+	sendTimeout = time.Second
+	// maxSendsInFlight lets the next message go before the last was answered.
+	maxSendsInFlight = 8
+)
+
+func (n *Node) sendLoop(ctx context.Context, addr string, c chan *eelpb.Message) {
+	slots := make(chan struct{}, maxSendsInFlight)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-c:
+			batch := []*eelpb.Message{m}
+			for len(c) > 0 {
+				batch = append(batch, <-c)
+			}
+			slots <- struct{}{}
+			n.g.Go(func(ctx context.Context) error {
+				defer func() { <-slots }()
+				ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+				defer cancel()
+				if err := n.o.Transport.Send(ctx, addr, batch); err != nil {
+					level.Debug(n.o.Log).Log("msg", "message not delivered", "to", addr, "err", err)
+				}
+				return nil
+			})
+		}
+	}
+}
+
+// Step takes messages of other replicas.
+func (n *Node) Step(messages []*eelpb.Message) {
+	for _, m := range messages {
+		select {
+		case n.inbox <- m:
+		default: // The sender sends again.
+		}
+	}
+}
+
+// Identify returns who this replica is.
+func (n *Node) Identify() *eelpb.IdentifyReply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := &eelpb.IdentifyReply{
+		Id: n.identity.ID, Incarnation: n.identity.Incarnation, Formed: n.r.Formed(), Addr: n.o.Addr,
+	}
+	if n.snapshot.GetIndex() == firstIndex {
+		r.First = n.snapshot.Membership
+	}
+	return r
+}
+
+func (n *Node) notLeader(op string) error {
+	return fault.New(op, KindNotLeader, fmt.Errorf("the leader is replica %d", n.r.Leader()))
+}
--- /dev/null
+++ b/internal/opctl/report.go
@@ -0,0 +1,179 @@
+package opctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/burn"
+	"github.com/eelgrassroad/eelgrassroad/internal/entry"
+	"github.com/eelgrassroad/eelgrassroad/internal/lease"
+	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/pkg/admin"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+// deployment is what status shows.
+type deployment struct {
+	Version model.Version        `json:"version"`
+	Replica node.Status          `json:"replica"`
+	VMs     []vmStatus           `json:"vms"`
+	Targets []lease.TargetStatus `json:"targets"`
+	Claims  int                  `json:"claims"`
+}
+
+type vmStatus struct {
+	wire.VM
+	// Status is absent where the VM does not answer.
+	Status *entry.Status `json:"status,omitempty"`
+}
+
+type statusCmd struct{ a *app }
+
+// Execute shows the deployment.
+func (c *statusCmd) Execute([]string) error {
+	return c.a.call(func(ctx context.Context, cl *admin.Client) error {
+		d, err := fetch(ctx, cl)
+		if err != nil {
+			return err
+		}
+		return c.a.print(d, d.text)
+	})
+}
+
+func fetch(ctx context.Context, cl *admin.Client) (*deployment, error) {
+	s, err := cl.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{Version: s.Version, Claims: s.Claims}
+	if err := json.Unmarshal(s.Replica, &d.Replica); err != nil {
+		return nil, err
+	}
+	if len(s.Targets) > 0 {
+		if err := json.Unmarshal(s.Targets, &d.Targets); err != nil {
+			return nil, err
+		}
+	}
+	for _, v := range s.VMs {
+		x := vmStatus{VM: v}
+		if b, err := cl.VM(ctx, v.Addr); err == nil {
+			x.Status = &entry.Status{}
+			if err := json.Unmarshal(b, x.Status); err != nil {
+				return nil, err
+			}
+		}
+		d.VMs = append(d.VMs, x)
+	}
+	return d, nil
+}
+
+func (d *deployment) text(w io.Writer) {
+	fmt.Fprintf(w, "catalogue version %d, %d claims\n\n", d.Version, d.Claims)
+	fmt.Fprintln(w, "REPLICA\tADDRESS\tVOTER\tMATCH")
+	for _, m := range d.Replica.Members {
+		role := ""
+		if m.ID == d.Replica.Leader {
+			role = " (leader)"
+		}
+		fmt.Fprintf(w, "%d%s\t%s\t%t\t%d\n", m.ID, role, m.Addr, m.Voter, m.Match)
+	}
+	fmt.Fprintln(w, "\nVM\tADDRESS\tFAILURE DOMAIN\tVERSION IN FORCE\tLEASE MS\tIN FLIGHT\tLEAVING")
+	for _, v := range d.VMs {
+		if v.Status == nil {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%t\n", v.ID, v.Addr, v.FailureDomain, "?", "?", "?", v.Leaving)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%t\n", v.ID, v.Addr, v.FailureDomain, v.Status.Version, v.Status.LeaseMillis, v.Status.InFlight, v.Leaving)
+	}
+	fmt.Fprintln(w, "\nTARGET\tSERVICE\tFAILURE DOMAIN\tSLOTS\tOWNER\tREADY\tDRAINING")
+	for _, t := range d.Targets {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%t\t%t\n", t.ID, t.Service, t.FailureDomain, t.Slots, t.Owner, t.Ready, t.Draining)
+	}
+	d.textShares(w)
+}
+
+func (d *deployment) textShares(w io.Writer) {
+	fmt.Fprintln(w, "\nVM\tLINK OR CAP\tSHARE PER SECOND\tUSE")
+	for _, v := range d.VMs {
+		if v.Status == nil {
+			continue
+		}
+		for _, s := range v.Status.Shares {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%.0f%%\n", v.ID, s.Resource, s.Share, 100*s.Use)
+		}
+	}
+}
+
+// lines merges what all VMs counted.
+func lines(ctx context.Context, cl *admin.Client) ([]burn.Line, error) {
+	s, err := cl.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	cat, err := cl.Catalogue(ctx)
+	if err != nil {
+		return nil, err
+	}
+	built, err := model.NewCatalogue(cat.Version, cat.Objects)
+	if err != nil {
+		return nil, err
+	}
+	var all [][]burn.Series
+	for _, v := range s.VMs {
+		b, err := cl.Burn(ctx, v.Addr)
+		if err != nil {
+			return nil, fmt.Errorf("VM %s: %w", v.ID, err)
+		}
+		all = append(all, b)
+	}
+	return burn.Report(burn.Merge(all...), built.Classes), nil
+}
+
+type burnCmd struct{ a *app }
+
+// Execute reports service-level burn.
+func (c *burnCmd) Execute([]string) error {
+	return c.a.call(func(ctx context.Context, cl *admin.Client) error {
+		l, err := lines(ctx, cl)
+		if err != nil {
+			return err
+		}
+		return c.a.print(l, func(w io.Writer) { WriteBurn(w, l) })
+	})
+}
+
+// WriteBurn writes the burn report for people.
+func WriteBurn(w io.Writer, list []burn.Line) {
+	fmt.Fprintln(w, "SERVICE\tCLASS\tPOLICY\tREQUESTS\tGOOD\tOBJECTIVE\tBUDGET LEFT\tBURN 5M\t1H\t30M\t6H\tALERT")
+	for _, l := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.3f%%\t%.3f%%\t%.1f%%\t%.2f\t%.2f\t%.2f\t%.2f\t%s\n",
+			l.Service, l.Class, l.Policy, l.Counts.All, 100*float64(l.Counts.Good)/float64(max(1, l.Counts.All)),
+			100*l.Objective, 100*l.BudgetLeft, l.FiveMinutes, l.OneHour, l.ThirtyMinutes, l.SixHours, l.Alert)
+	}
+}
+
+type compareCmd struct{ a *app }
+
+// Execute compares the policies.
+func (c *compareCmd) Execute([]string) error {
+	return c.a.call(func(ctx context.Context, cl *admin.Client) error {
+		l, err := lines(ctx, cl)
+		if err != nil {
+			return err
+		}
+		return c.a.print(l, func(w io.Writer) { WriteComparison(w, l) })
+	})
+}
+
+// WriteComparison writes each policy's latency, headroom, refusals and burn.
+func WriteComparison(w io.Writer, list []burn.Line) {
+	fmt.Fprintln(w, "SERVICE\tCLASS\tPOLICY\tREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tSHIFTED\tP50 MS\tP99 MS\tP99.9 MS\tMEAN MS\tREFUSED (95% INTERVAL)\tHEADROOM\tBURN 5M")
+	for _, l := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f±%.1f\t%.2f%% (%.2f-%.2f)\t%.0f%%\t%.2f\n",
+			l.Service, l.Class, l.Policy, l.Counts.All, l.Counts.Answered, l.Counts.NotRun, l.Counts.Unknown, l.Counts.Shifted,
+			l.P50, l.P99, l.P999, l.Mean, l.MeanError, 100*l.Refused, 100*l.RefusedSpan[0], 100*l.RefusedSpan[1], 100*l.Headroom, l.FiveMinutes)
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,384 @@
+// Package pool holds the targets that one entry owns for one service, their
+// slots, and the requests that wait for one.
+//
+// The pool counts exactly what it has dispatched: a target never gets more
+// requests at once than its slots. What a target says of its own load is not
+// used for that.
+//
+// # Usage
+//
+//	p := pool.New(pool.Options{Service: "registry"})
+//	p.Own(reports, now)
+//	s, err := p.Acquire(ctx, pool.Ask{Deadline: d, MaxQueued: 64})
+//	if s.Usable() { ... }
+//	s.Done(pool.Good, elapsed)
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors; all mean that the request was not dispatched.
+const (
+	KindNoTarget Kind = "noTarget"
+	KindFull     Kind = "queueFull"
+	KindLate     Kind = "tooLate"
+	KindGaveUp   Kind = "callerLeft"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// announcementLife is how long an announcement lets new work go to its target.
+	announcementLife = 2 * time.Second
+	// takeOverRamp is how long a target with a new owner gets fewer requests than it has slots.
+	takeOverRamp = time.Second
+	// firstServiceTime is the service time assumed before any was observed.
+	firstServiceTime = 20 * time.Millisecond
+	// smoothing is the weight of a new observation in a moving average.
+	smoothing    = 0.1
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 5 * time.Second
+	shedBackoff  = 50 * time.Millisecond
+)
+
+// Result is how a dispatch ended.
+type Result int
+
+// The results of a dispatch.
+const (
+	Good Result = iota
+	Shed
+	Broken
+	Cancelled
+)
+
+// Options are the settings of a pool.
+type Options struct {
+	Service model.ServiceID
+	Clock   func() time.Duration
+}
+
+// Target is a target as its announcements and the grants describe it.
+type Target struct {
+	ID          model.TargetID
+	Addr        string
+	Domain      model.FailureDomainID
+	Slots       int
+	Incarnation uint64
+	Ready       bool
+	Draining    bool
+	// HeardAt is when the announcement was made, at the latest.
+	HeardAt time.Duration
+}
+
+type member struct {
+	t        Target
+	owned    bool
+	drained  bool
+	inFlight int
+	latency  float64
+	rampFrom time.Duration
+	rampFor  time.Duration
+	backoff  time.Duration
+	outUntil time.Duration
+	drainAt  time.Duration
+	drainFor time.Duration
+}
+
+// Priority orders the requests that wait; lower goes first.
+type Priority int
+
+// The priorities.
+const (
+	Prompt Priority = iota
+	Deferred
+	priorities
+)
+
+// Ask is a request for a slot.
+type Ask struct {
+	Priority Priority
+	// Deadline is when the answer must be there.
+	Deadline time.Duration
+	// MaxWait bounds the time in the queue; 0 means until the deadline.
+	MaxWait time.Duration
+	// MaxQueued bounds how many requests of the priority wait.
+	MaxQueued int
+	// Domain restricts the choice to a failure domain; empty means any.
+	Domain model.FailureDomainID
+	// Not is a target that was tried before.
+	Not model.TargetID
+}
+
+type waiter struct {
+	ask   Ask
+	ready chan *Slot
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	o       Options
+	mu      sync.Mutex
+	members map[model.TargetID]*member
+	queues  [priorities][]*waiter
+	service float64
+	warmUp  time.Duration
+}
+
+// New returns an empty pool.
+func New(o Options) *Pool {
+	if o.Clock == nil {
+		start := time.Now()
+		o.Clock = func() time.Duration { return time.Since(start) }
+	}
+	return &Pool{o: o, members: map[model.TargetID]*member{}, service: float64(firstServiceTime)}
+}
+
+// SetWarmUp sets how long a target that became ready is ramped up.
+func (p *Pool) SetWarmUp(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.warmUp = d
+}
+
+// Slot is the right to have one request in progress at a target.
+type Slot struct {
+	p *Pool
+	m *member
+	t Target
+}
+
+// Target returns the target of the slot.
+func (s *Slot) Target() Target { return s.t }
+
+// Usable tells whether the target may still get new work.
+func (s *Slot) Usable() bool {
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	return s.m.open(s.p.o.Clock()) && s.m.t.Incarnation == s.t.Incarnation
+}
+
+// open tells whether the target may get new work at all.
+func (m *member) open(now time.Duration) bool {
+	return m.owned && !m.drained && m.t.Ready && !m.t.Draining && now < m.t.HeardAt+announcementLife
+}
+
+// capacity returns how many requests the target may have in progress now.
+func (m *member) capacity(now time.Duration) int {
+	if !m.open(now) || now < m.outUntil {
+		return 0
+	}
+	since := now - m.rampFrom
+	if m.rampFor <= 0 || since >= m.rampFor {
+		return m.t.Slots
+	}
+	return min(m.t.Slots, 1+int(float64(m.t.Slots)*float64(since)/float64(m.rampFor)))
+}
+
+// Acquire returns a slot, waiting for one if the answer can still be in time.
+func (p *Pool) Acquire(ctx context.Context, a Ask) (*Slot, error) {
+	p.mu.Lock()
+	now := p.o.Clock()
+	if s := p.pick(a, now); s != nil && p.nobodyAhead(a) {
+		p.mu.Unlock()
+		return s, nil
+	} else if s != nil {
+		p.giveBack(s)
+	}
+	w, err := p.enqueue(a, now)
+	p.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return p.await(ctx, w, now)
+}
+
+func (p *Pool) nobodyAhead(a Ask) bool {
+	for i := Priority(0); i <= a.Priority; i++ {
+		if len(p.queues[i]) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Pool) enqueue(a Ask, now time.Duration) (*waiter, error) {
+	const op = "pool.Acquire"
+	total := p.slots(a, now)
+	if total == 0 {
+		return nil, fault.Newf(op, KindNoTarget, "no target of service %q is ready here", p.o.Service)
+	}
+	if len(p.queues[a.Priority]) >= a.MaxQueued {
+		return nil, fault.Newf(op, KindFull, "%d requests wait already", a.MaxQueued)
+	}
+	if w := p.wait(a.Priority, total); now+w+time.Duration(p.service) > a.Deadline || a.MaxWait > 0 && w > a.MaxWait {
+		return nil, fault.Newf(op, KindLate, "the wait would be %s", w)
+	}
+	w := &waiter{ask: a, ready: make(chan *Slot, 1)}
+	p.queues[a.Priority] = append(p.queues[a.Priority], w)
+	return w, nil
+}
+
+// wait estimates how long a request of the priority would wait for a slot.
+func (p *Pool) wait(r Priority, total int) time.Duration {
+	ahead := 1
+	for i := Priority(0); i <= r; i++ {
+		ahead += len(p.queues[i])
+	}
+	return time.Duration(p.service * float64(ahead) / float64(total))
+}
+
+// Wait estimates how long a prompt request would wait for a slot now.
+func (p *Pool) Wait() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wait(Prompt, max(1, p.slots(Ask{}, p.o.Clock())))
+}
+
+func (p *Pool) slots(a Ask, now time.Duration) int {
+	n := 0
+	for _, m := range p.members {
+		if a.Domain == "" || a.Domain == m.t.Domain {
+			n += m.capacity(now)
+		}
+	}
+	return n
+}
+
+func (p *Pool) await(ctx context.Context, w *waiter, now time.Duration) (*Slot, error) {
+	limit := w.ask.Deadline
+	if w.ask.MaxWait > 0 {
+		limit = min(limit, now+w.ask.MaxWait)
+	}
+	t := time.NewTimer(limit - now)
+	defer t.Stop()
+	select {
+	case s := <-w.ready:
+		return s, nil
+	case <-ctx.Done():
+		return p.leave(w, KindGaveUp)
+	case <-t.C:
+		return p.leave(w, KindLate)
+	}
+}
+
+// leave takes a waiter out of the queue, and gives back a slot that it was given meanwhile.
+func (p *Pool) leave(w *waiter, k Kind) (*Slot, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.queues[w.ask.Priority]
+	for i, x := range q {
+		if x == w {
+			p.queues[w.ask.Priority] = append(q[:i:i], q[i+1:]...)
+			break
+		}
+	}
+	select {
+	case s := <-w.ready:
+		p.giveBack(s)
+		p.serve()
+	default:
+	}
+	return nil, fault.Newf("pool.Acquire", k, "no slot became free in time")
+}
+
+// pick takes a slot of the free target that is expected to answer first.
+func (p *Pool) pick(a Ask, now time.Duration) *Slot {
+	var best *member
+	for _, m := range p.members {
+		if m.inFlight >= m.capacity(now) || a.Not == m.t.ID || a.Domain != "" && a.Domain != m.t.Domain {
+			continue
+		}
+		if best == nil || m.cost() < best.cost() {
+			best = m
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best.inFlight++
+	return &Slot{p: p, m: best, t: best.t}
+}
+
+// cost is what a request is expected to take at the target.
+func (m *member) cost() float64 {
+	return m.latency * float64(m.inFlight+1) / float64(max(1, m.t.Slots))
+}
+
+// serve hands free slots to those who wait; those who are too late are dropped by their timers.
+func (p *Pool) serve() {
+	now := p.o.Clock()
+	for r := range p.queues {
+		kept := p.queues[r][:0:0]
+		for i, w := range p.queues[r] {
+			s := p.pick(w.ask, now)
+			if s != nil {
+				w.ready <- s
+				continue
+			}
+			if w.ask.Domain == "" && w.ask.Not == "" {
+				kept = append(kept, p.queues[r][i:]...)
+				break
+			}
+			kept = append(kept, w)
+		}
+		p.queues[r] = kept
+	}
+}
+
+func (p *Pool) giveBack(s *Slot) {
+	s.m.inFlight--
+}
+
+// Done gives the slot back with how the dispatch ended and how long it took.
+func (s *Slot) Done(r Result, took time.Duration) {
+	p := s.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.giveBack(s)
+	now := p.o.Clock()
+	switch r {
+	case Good:
+		s.m.observe(took)
+		p.service += smoothing * (float64(took) - p.service)
+	case Shed:
+		s.m.outUntil = now + shedBackoff
+	case Broken:
+		s.m.backoff = min(maxBackoff, max(firstBackoff, 2*s.m.backoff))
+		s.m.outUntil = now + s.m.backoff
+	case Cancelled:
+		s.m.observe(took)
+	}
+	s.m.checkDrained(now)
+	p.serve()
+}
+
+func (m *member) observe(took time.Duration) {
+	m.backoff = 0
+	m.latency += smoothing * (float64(took) - m.latency)
+}
+
+func (m *member) checkDrained(now time.Duration) {
+	if m.drainAt != 0 && m.drainFor == 0 && m.inFlight == 0 {
+		m.drainFor = max(1, now-m.drainAt)
+	}
+}
+
+// Release gives a slot back that nothing was dispatched with.
+func (s *Slot) Release() {
+	s.p.mu.Lock()
+	defer s.p.mu.Unlock()
+	s.p.giveBack(s)
+	s.m.checkDrained(s.p.o.Clock())
+	s.p.serve()
+}
--- /dev/null
+++ b/internal/raft/member.go
@@ -0,0 +1,101 @@
+package raft
+
+import (
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"google.golang.org/protobuf/proto"
+)
+
+// AddLearner adds a replica that receives the log and does not vote.
+func (r *Raft) AddLearner(m *eelpb.Member) (Index, error) {
+	const op = "raft.AddLearner"
+	if err := r.mayChange(op); err != nil {
+		return 0, err
+	}
+	if findMember(r.members, ReplicaID(m.Id)) != nil {
+		return 0, fault.Newf(op, KindUnsafe, "replica %d is a member already; remove it first", m.Id)
+	}
+	next := cloneMembership(r.members)
+	next.Members = append(next.Members, &eelpb.Member{Id: m.Id, Incarnation: m.Incarnation, Addr: m.Addr})
+	return r.changeMembers(next), nil
+}
+
+// Promote makes a learner that has caught up a voter.
+func (r *Raft) Promote(id ReplicaID) (Index, error) {
+	const op = "raft.Promote"
+	if err := r.mayChange(op); err != nil {
+		return 0, err
+	}
+	next := cloneMembership(r.members)
+	m := findMember(next, id)
+	if m == nil {
+		return 0, fault.Newf(op, KindUnknown, "replica %d is not a member", id)
+	}
+	if r.progress[id].match+maxCatchUpLag < r.log.commit {
+		return 0, fault.Newf(op, KindUnsafe, "replica %d is at index %d of %d and has not caught up", id, r.progress[id].match, r.log.commit)
+	}
+	m.Voter = true
+	return r.changeMembers(next), nil
+}
+
+// Remove takes a replica out of the group. It is refused while the voters that
+// remain and answer are no quorum.
+func (r *Raft) Remove(id ReplicaID) (Index, error) {
+	const op = "raft.Remove"
+	if err := r.mayChange(op); err != nil {
+		return 0, err
+	}
+	next := &eelpb.Membership{}
+	for _, m := range r.members.Members {
+		if ReplicaID(m.Id) != id {
+			next.Members = append(next.Members, proto.Clone(m).(*eelpb.Member))
+		}
+	}
+	if len(next.Members) == len(r.members.Members) {
+		return 0, fault.Newf(op, KindUnknown, "replica %d is not a member", id)
+	}
+	if live, voters := r.liveVoters(next); live <= voters/2 {
+		return 0, fault.Newf(op, KindUnsafe, "only %d of the %d voters that would remain answer", live, voters)
+	}
+	return r.changeMembers(next), nil
+}
+
+func (r *Raft) liveVoters(s *eelpb.Membership) (live, voters int) {
+	for _, m := range s.Members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		id := ReplicaID(m.Id)
+		if id == r.c.ID || r.progress[id].acked+r.c.ElectionTimeout > r.now {
+			live++
+		}
+	}
+	return live, voters
+}
+
+func (r *Raft) mayChange(op string) error {
+	if r.role != Leader || !r.committedInTerm() || r.transferTo != 0 {
+		return fault.Newf(op, KindNotLeader, "replica %d is %s in term %d", r.c.ID, r.role, r.term)
+	}
+	if r.log.pendingMembership() {
+		return fault.Newf(op, KindPending, "another membership change is not committed yet")
+	}
+	return nil
+}
+
+func (r *Raft) changeMembers(next *eelpb.Membership) Index {
+	b, err := proto.Marshal(next)
+	if err != nil {
+		panic("raft: a membership does not encode: " + err.Error())
+	}
+	i := r.appendOwn(eelpb.EntryKind_ENTRY_MEMBERSHIP, b)
+	r.members = next
+	r.syncProgress()
+	r.broadcast(false)
+	return i
+}
+
+func cloneMembership(m *eelpb.Membership) *eelpb.Membership {
+	return proto.Clone(m).(*eelpb.Membership)
+}
--- /dev/null
+++ b/internal/raft/raft.go
@@ -0,0 +1,511 @@
+// Package raft is the consensus core of the state replicas: the Raft algorithm
+// (Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm",
+// 2014) with pre-vote, leader leases by check-quorum, single-member membership
+// changes, learners and snapshots (Ongaro's thesis, chapters 4, 6 and 9).
+//
+// The core does no input or output and reads no clock. The caller feeds it
+// messages and the monotonic time, takes a Ready, makes its entries durable,
+// and only then sends its messages.
+//
+// # Usage
+//
+//	r := raft.New(raft.Config{ID: 1, Incarnation: 9, Rand: rnd}, restored)
+//	r.Tick(now)
+//	r.Step(message, now)
+//	for r.HasReady() {
+//		d := r.Ready()
+//		save(d)           // synced before anything else
+//		send(d.Messages)
+//		apply(d.Committed)
+//		r.Advance(d)
+//	}
+//
+// A replica is known by its id and incarnation. A wiped disk has a new
+// incarnation, and the core neither counts nor answers votes of an incarnation
+// that is not in the membership: a replica that forgot what it promised can
+// not vote again before it was re-admitted.
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+)
+
+// ReplicaID names a state replica.
+type ReplicaID uint64
+
+// Incarnation names one life of a replica's disk.
+type Incarnation uint64
+
+// Term is a period with at most one leader.
+type Term uint64
+
+// Index is a position in the log, counted from 1.
+type Index uint64
+
+// Role is what a replica is in its term.
+type Role int
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the short name of the role.
+func (r Role) String() string {
+	return [...]string{"follower", "preCandidate", "candidate", "leader"}[r]
+}
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindNotLeader Kind = "notLeader"
+	KindPending   Kind = "changePending"
+	KindUnsafe    Kind = "unsafeChange"
+	KindUnknown   Kind = "unknownReplica"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	// DefaultElectionTimeout is the least time without a leader before an election.
+	DefaultElectionTimeout = 600 * time.Millisecond
+	// DefaultHeartbeat is the time between two heartbeats of a leader.
+	DefaultHeartbeat = 100 * time.Millisecond
+	// clockRateBound divides a timeout to give what clocks may drift apart in it.
+	clockRateBound = 50
+	// maxBatchBytes bounds the entries of one append message.
+	maxBatchBytes = 1 << 20
+	// maxLogBytes is above what a log in memory ever holds.
+	maxLogBytes = 1 << 40
+	// maxCatchUpLag is how far behind the commit index a learner may be when it is promoted.
+	maxCatchUpLag = 16
+)
+
+// Config is what a replica knows before its disk is read.
+type Config struct {
+	ID              ReplicaID
+	Incarnation     Incarnation
+	ElectionTimeout time.Duration
+	Heartbeat       time.Duration
+	Rand            *rand.Rand
+}
+
+// Restored is what a replica reads from its disk.
+type Restored struct {
+	Hard     *eelpb.HardState
+	Snapshot *eelpb.Snapshot
+	Entries  []*eelpb.LogEntry
+}
+
+// Ready is what the caller must do next, in the order of the fields.
+type Ready struct {
+	// Hard is set when term or vote changed; it must be durable before messages go out.
+	Hard *eelpb.HardState
+	// Snapshot is set when a snapshot came from the leader.
+	Snapshot *eelpb.Snapshot
+	// Entries must be durable before messages go out; they replace what the disk holds from the first index on.
+	Entries  []*eelpb.LogEntry
+	Messages []*eelpb.Message
+	// Committed are the entries to apply.
+	Committed []*eelpb.LogEntry
+}
+
+type progress struct {
+	match    Index
+	next     Index
+	acked    time.Duration
+	snapSent time.Duration
+	snap     Index
+}
+
+// Raft is the state of one replica. It is not safe for concurrent use.
+type Raft struct {
+	c Config
+
+	role   Role
+	term   Term
+	vote   ReplicaID
+	leader ReplicaID
+	log    *log
+
+	members  *eelpb.Membership
+	progress map[ReplicaID]*progress
+	votes    map[ReplicaID]bool
+
+	now         time.Duration
+	heardAt     time.Duration
+	electAt     time.Duration
+	beatAt      time.Duration
+	wonAt       time.Duration
+	transferTo  ReplicaID
+	transferEnd time.Duration
+
+	hardDirty bool
+	snapDirty *eelpb.Snapshot
+	out       []*eelpb.Message
+}
+
+// New returns a replica as its disk left it.
+func New(c Config, d Restored, now time.Duration) *Raft {
+	if c.ElectionTimeout == 0 {
+		c.ElectionTimeout = DefaultElectionTimeout
+	}
+	if c.Heartbeat == 0 {
+		c.Heartbeat = DefaultHeartbeat
+	}
+	r := &Raft{c: c, log: newLog(d.Snapshot, d.Entries), now: now}
+	if d.Hard != nil {
+		r.term = Term(d.Hard.Term)
+		r.vote = ReplicaID(d.Hard.Vote)
+	}
+	r.members = r.log.membership()
+	// A restarted replica forgot when it last heard its leader, so it sits out one timeout.
+	r.heardAt = now
+	r.resetElection()
+	return r
+}
+
+// Role returns the replica's role.
+func (r *Raft) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Raft) Term() Term { return r.term }
+
+// Leader returns the leader that this replica knows, or 0.
+func (r *Raft) Leader() ReplicaID { return r.leader }
+
+// Commit returns the last committed index.
+func (r *Raft) Commit() Index { return r.log.commit }
+
+// Applied returns the last index that was handed out to be applied.
+func (r *Raft) Applied() Index { return r.log.applied }
+
+// LastIndex returns the last index of the log.
+func (r *Raft) LastIndex() Index { return r.log.last() }
+
+// Members returns the membership in force.
+func (r *Raft) Members() *eelpb.Membership { return r.members }
+
+// Formed tells whether the replica belongs to a group.
+func (r *Raft) Formed() bool { return len(r.members.GetMembers()) > 0 }
+
+// WonAt returns when this replica became leader.
+func (r *Raft) WonAt() time.Duration { return r.wonAt }
+
+// Match returns how far the replica with the id follows this leader.
+func (r *Raft) Match(id ReplicaID) Index {
+	p, ok := r.progress[id]
+	if !ok {
+		return 0
+	}
+	return p.match
+}
+
+// LeaseUntil returns the time until which no other replica can be leader. It is
+// zero when this replica is no leader or has not committed in its term yet.
+func (r *Raft) LeaseUntil() time.Duration {
+	if r.role != Leader || r.transferTo != 0 || !r.committedInTerm() {
+		return 0
+	}
+	return r.quorumAck() + r.c.ElectionTimeout - r.c.ElectionTimeout/clockRateBound
+}
+
+func (r *Raft) committedInTerm() bool {
+	return r.log.term(r.log.commit) == r.term
+}
+
+// Tick tells the replica the time.
+func (r *Raft) Tick(now time.Duration) {
+	r.advanceClock(now)
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.now >= r.electAt && r.isVoter() {
+		r.campaign(false)
+	}
+}
+
+func (r *Raft) advanceClock(now time.Duration) {
+	r.now = max(r.now, now)
+}
+
+func (r *Raft) tickLeader() {
+	if r.now >= r.quorumAck()+r.c.ElectionTimeout {
+		r.becomeFollower(r.term, 0)
+		return
+	}
+	if r.transferTo != 0 && r.now >= r.transferEnd {
+		// The request to take over may still be on its way, so this term's lease is over.
+		r.becomeFollower(r.term, 0)
+		return
+	}
+	if r.now >= r.beatAt {
+		r.beatAt = r.now + r.c.Heartbeat
+		r.broadcast(true)
+	}
+}
+
+// quorumAck returns the latest time at which a quorum is known to have followed this leader.
+func (r *Raft) quorumAck() time.Duration {
+	t := make([]time.Duration, 0, len(r.members.Members))
+	for _, m := range r.members.Members {
+		if !m.Voter {
+			continue
+		}
+		if ReplicaID(m.Id) == r.c.ID {
+			t = append(t, r.now)
+			continue
+		}
+		t = append(t, r.progress[ReplicaID(m.Id)].acked)
+	}
+	if len(t) == 0 {
+		return r.now
+	}
+	slices.Sort(t)
+	return t[(len(t)-1)/2]
+}
+
+// Propose appends commands to the log of the leader and returns the index of the first.
+func (r *Raft) Propose(data ...[]byte) (Index, error) {
+	if r.role != Leader || r.transferTo != 0 {
+		return 0, fault.Newf("raft.Propose", KindNotLeader, "replica %d is %s in term %d", r.c.ID, r.role, r.term)
+	}
+	first := r.log.last() + 1
+	for _, d := range data {
+		r.appendOwn(eelpb.EntryKind_ENTRY_COMMAND, d)
+	}
+	r.broadcast(false)
+	return first, nil
+}
+
+func (r *Raft) appendOwn(k eelpb.EntryKind, data []byte) Index {
+	e := &eelpb.LogEntry{Index: uint64(r.log.last() + 1), Term: uint64(r.term), Kind: k, Data: data}
+	r.log.append(e)
+	return Index(e.Index)
+}
+
+// Transfer hands leadership to the most up-to-date voter and reports whether there is one.
+func (r *Raft) Transfer() bool {
+	if r.role != Leader {
+		return false
+	}
+	var best ReplicaID
+	for _, m := range r.members.Members {
+		id := ReplicaID(m.Id)
+		if !m.Voter || id == r.c.ID {
+			continue
+		}
+		if best == 0 || r.progress[id].match > r.progress[best].match {
+			best = id
+		}
+	}
+	if best == 0 {
+		return false
+	}
+	r.transferTo = best
+	r.transferEnd = r.now + r.c.ElectionTimeout
+	r.sendAppend(best, true)
+	r.tryTransfer(best)
+	return true
+}
+
+func (r *Raft) tryTransfer(id ReplicaID) {
+	if r.transferTo == id && r.progress[id].match == r.log.last() {
+		r.send(id, &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_TIMEOUT_NOW})
+	}
+}
+
+func (r *Raft) resetElection() {
+	d := r.c.ElectionTimeout
+	r.electAt = r.now + d + time.Duration(r.c.Rand.Int64N(int64(d)))
+}
+
+func (r *Raft) becomeFollower(t Term, leader ReplicaID) {
+	if t > r.term {
+		r.term = t
+		r.vote = 0
+		r.hardDirty = true
+	}
+	r.role = Follower
+	r.leader = leader
+	r.transferTo = 0
+	r.resetElection()
+}
+
+func (r *Raft) campaign(transfer bool) {
+	r.votes = map[ReplicaID]bool{r.c.ID: true}
+	r.resetElection()
+	r.leader = 0
+	if !transfer {
+		r.role = PreCandidate
+		r.askVotes(eelpb.MessageKind_MESSAGE_PRE_VOTE, r.term+1, false)
+		r.countVotes()
+		return
+	}
+	r.elect(true)
+}
+
+func (r *Raft) elect(transfer bool) {
+	r.role = Candidate
+	r.term++
+	r.vote = r.c.ID
+	r.hardDirty = true
+	r.votes = map[ReplicaID]bool{r.c.ID: true}
+	r.resetElection()
+	r.askVotes(eelpb.MessageKind_MESSAGE_VOTE, r.term, transfer)
+	r.countVotes()
+}
+
+func (r *Raft) askVotes(k eelpb.MessageKind, t Term, transfer bool) {
+	for _, m := range r.members.Members {
+		if !m.Voter || ReplicaID(m.Id) == r.c.ID {
+			continue
+		}
+		r.send(ReplicaID(m.Id), &eelpb.Message{
+			Kind: k, Term: uint64(t), Transfer: transfer,
+			LogIndex: uint64(r.log.last()), LogTerm: uint64(r.log.term(r.log.last())),
+		})
+	}
+}
+
+func (r *Raft) countVotes() {
+	n, voters := 0, 0
+	for _, m := range r.members.Members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if r.votes[ReplicaID(m.Id)] {
+			n++
+		}
+	}
+	if n <= voters/2 {
+		return
+	}
+	if r.role == PreCandidate {
+		r.elect(false)
+		return
+	}
+	r.becomeLeader()
+}
+
+func (r *Raft) becomeLeader() {
+	r.role = Leader
+	r.leader = r.c.ID
+	r.wonAt = r.now
+	r.progress = map[ReplicaID]*progress{}
+	r.syncProgress()
+	r.appendOwn(eelpb.EntryKind_ENTRY_NOOP, nil)
+	r.beatAt = r.now + r.c.Heartbeat
+	r.broadcast(true)
+}
+
+// syncProgress keeps one progress for each member.
+func (r *Raft) syncProgress() {
+	for _, m := range r.members.Members {
+		id := ReplicaID(m.Id)
+		if _, ok := r.progress[id]; !ok {
+			r.progress[id] = &progress{next: r.log.last() + 1, acked: r.now}
+		}
+	}
+	for id := range r.progress {
+		if findMember(r.members, id) == nil {
+			delete(r.progress, id)
+		}
+	}
+}
+
+func (r *Raft) isVoter() bool {
+	m := findMember(r.members, r.c.ID)
+	return m != nil && m.Voter && Incarnation(m.Incarnation) == r.c.Incarnation
+}
+
+func findMember(s *eelpb.Membership, id ReplicaID) *eelpb.Member {
+	for _, m := range s.GetMembers() {
+		if ReplicaID(m.Id) == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// HasReady tells whether Ready has anything to do.
+func (r *Raft) HasReady() bool {
+	return r.hardDirty || r.snapDirty != nil || len(r.out) > 0 || r.log.hasUnstable() || r.log.commit > r.log.applied
+}
+
+// Ready returns what is to be done now.
+func (r *Raft) Ready() Ready {
+	d := Ready{Snapshot: r.snapDirty, Entries: r.log.unstable(), Messages: r.out}
+	if r.hardDirty {
+		d.Hard = &eelpb.HardState{Term: uint64(r.term), Vote: uint64(r.vote), Commit: uint64(r.log.commit)}
+	}
+	d.Committed = r.log.committed()
+	r.hardDirty, r.snapDirty, r.out = false, nil, nil
+	return d
+}
+
+// Advance tells the replica that a Ready was saved, sent and applied.
+func (r *Raft) Advance(d Ready) {
+	if n := len(d.Committed); n > 0 {
+		r.log.applied = max(r.log.applied, Index(d.Committed[n-1].Index))
+	}
+	n := len(d.Entries)
+	if n == 0 {
+		return
+	}
+	e := d.Entries[n-1]
+	r.log.stableTo(Index(e.Index), Term(e.Term))
+	if r.role == Leader {
+		r.maybeCommit()
+	}
+}
+
+// Compact drops the log up to the index, which a snapshot now holds.
+func (r *Raft) Compact(i Index) {
+	r.log.compact(i)
+}
+
+// MembershipAt returns the membership as of an index that the log still holds.
+func (r *Raft) MembershipAt(i Index) *eelpb.Membership {
+	return r.log.membershipAt(i)
+}
+
+// TermAt returns the term of an index that the log still holds.
+func (r *Raft) TermAt(i Index) Term {
+	return r.log.term(i)
+}
+
+func (r *Raft) send(to ReplicaID, m *eelpb.Message) {
+	t := findMember(r.members, to)
+	if t == nil {
+		return
+	}
+	r.sendTo(to, Incarnation(t.Incarnation), m)
+}
+
+func (r *Raft) sendTo(to ReplicaID, inc Incarnation, m *eelpb.Message) {
+	m.From, m.FromIncarnation = uint64(r.c.ID), uint64(r.c.Incarnation)
+	m.To, m.ToIncarnation = uint64(to), uint64(inc)
+	if m.Term == 0 {
+		m.Term = uint64(r.term)
+	}
+	r.out = append(r.out, m)
+}
+
+// EntriesAfter returns the entries behind an index.
+func (r *Raft) EntriesAfter(i Index) []*eelpb.LogEntry {
+	return r.log.slice(i+1, maxLogBytes)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,305 @@
+// Package relay stands between processes as the network does: it delays what
+// passes, counts it, and can lose it silently while connections stay open.
+// It serves tests and the demo.
+//
+// # Usage
+//
+//	n := relay.New()
+//	err := n.Front("127.0.1.1:7100", "127.0.1.1:7101")
+//	n.Cut("127.0.1.1", "127.0.1.2")
+//	n.Close()
+//
+// A host is an IP number. Processes make their connections from their own IP
+// number, so the relay knows both ends.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/group"
+)
+
+const (
+	chunk      = 16 << 10
+	queueDepth = 256
+	cutPoll    = 10 * time.Millisecond
+)
+
+// Pair is a direction between two hosts.
+type Pair struct {
+	From, To string
+}
+
+// Network is a set of fronts with the state of the ways between hosts.
+type Network struct {
+	g *group.Group
+
+	mu    sync.Mutex
+	cut   map[Pair]bool
+	delay func(from, to string) time.Duration
+	zone  func(host string) string
+	count map[Pair]map[int64]int64
+	lis   []net.Listener
+	conns map[net.Conn]bool
+	start time.Time
+
+	closed bool
+}
+
+// New returns an empty network without delays.
+func New() *Network {
+	return &Network{
+		g: group.New(context.Background()), cut: map[Pair]bool{}, count: map[Pair]map[int64]int64{},
+		conns: map[net.Conn]bool{}, start: time.Now(),
+		delay: func(string, string) time.Duration { return 0 },
+	}
+}
+
+// SetDelay sets the one-way delay between hosts.
+func (n *Network) SetDelay(f func(from, to string) time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delay = f
+}
+
+// SetZone makes the network count the bytes between zones; a host in zone "" is not counted.
+func (n *Network) SetZone(f func(host string) string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.zone = f
+}
+
+// Cut loses all that is sent between two hosts, both ways.
+func (n *Network) Cut(a, b string) {
+	n.set(a, b, true)
+}
+
+// Heal ends a cut.
+func (n *Network) Heal(a, b string) {
+	n.set(a, b, false)
+}
+
+func (n *Network) set(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[Pair{a, b}] = cut
+	n.cut[Pair{b, a}] = cut
+}
+
+func (n *Network) isCut(p Pair) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[p]
+}
+
+// Front accepts connections at an address and passes them to another.
+func (n *Network) Front(addr, behind string) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	n.lis = append(n.lis, l)
+	n.mu.Unlock()
+	n.g.Go(func(ctx context.Context) error {
+		n.accept(ctx, l, behind)
+		return nil
+	})
+	return nil
+}
+
+func (n *Network) accept(ctx context.Context, l net.Listener, behind string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		n.g.Go(func(context.Context) error {
+			n.serve(ctx, c, hostOf(l.Addr()), behind)
+			return nil
+		})
+	}
+}
+
+func hostOf(a net.Addr) string {
+	h, _, err := net.SplitHostPort(a.String())
+	if err != nil {
+		return ""
+	}
+	return h
+}
+
+func (n *Network) serve(ctx context.Context, c net.Conn, to, behind string) {
+	p := Pair{hostOf(c.RemoteAddr()), to}
+	defer n.drop(c)
+	n.keep(c)
+	for n.isCut(p) {
+		if !pause(ctx, cutPoll) {
+			return
+		}
+	}
+	b, err := net.Dial("tcp", behind)
+	if err != nil {
+		return
+	}
+	defer n.drop(b)
+	n.keep(b)
+	done := make(chan struct{}, 2)
+	n.pipe(ctx, c, b, p, done)
+	n.pipe(ctx, b, c, Pair{p.To, p.From}, done)
+	<-done
+	<-done
+}
+
+func (n *Network) keep(c net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		c.Close()
+		return
+	}
+	n.conns[c] = true
+}
+
+func (n *Network) drop(c net.Conn) {
+	c.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.conns, c)
+}
+
+type parcel struct {
+	due time.Time
+	b   []byte
+}
+
+// pipe passes bytes one way: a reader stamps them, a writer lets them go when they are due.
+func (n *Network) pipe(ctx context.Context, from, to net.Conn, p Pair, done chan struct{}) {
+	q := make(chan parcel, queueDepth)
+	n.g.Go(func(context.Context) error {
+		defer close(q)
+		n.read(ctx, from, p, q)
+		return nil
+	})
+	n.g.Go(func(context.Context) error {
+		defer func() { done <- struct{}{} }()
+		n.write(ctx, to, p, q)
+		return nil
+	})
+}
+
+func (n *Network) read(ctx context.Context, from net.Conn, p Pair, q chan parcel) {
+	for {
+		b := make([]byte, chunk)
+		k, err := from.Read(b)
+		if k > 0 {
+			n.mu.Lock()
+			d := n.delay(p.From, p.To)
+			n.mu.Unlock()
+			select {
+			case q <- parcel{time.Now().Add(d), b[:k]}:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// write holds back what is sent while the way is cut, as retransmission does.
+func (n *Network) write(ctx context.Context, to net.Conn, p Pair, q chan parcel) {
+	defer closeWrite(to)
+	for x := range q {
+		if !pause(ctx, time.Until(x.due)) {
+			return
+		}
+		for n.isCut(p) {
+			if !pause(ctx, cutPoll) {
+				return
+			}
+		}
+		n.add(p, len(x.b))
+		if _, err := to.Write(x.b); err != nil {
+			// The reader ends when its side closes.
+			for range q {
+			}
+			return
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		// The other side may be closed already.
+		_ = t.CloseWrite()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// bucketsPerSecond is how finely bytes are counted.
+const bucketsPerSecond = 10
+
+func (n *Network) add(p Pair, k int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.zone == nil {
+		return
+	}
+	z := Pair{n.zone(p.From), n.zone(p.To)}
+	if z.From == "" || z.To == "" || z.From == z.To {
+		return
+	}
+	if n.count[z] == nil {
+		n.count[z] = map[int64]int64{}
+	}
+	n.count[z][int64(time.Since(n.start)*bucketsPerSecond/time.Second)] += int64(k)
+}
+
+// MostPerSecond returns the most bytes that passed between two zones in any second.
+func (n *Network) MostPerSecond() map[Pair]int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := map[Pair]int64{}
+	for z, m := range n.count {
+		for at := range m {
+			sum := int64(0)
+			for i := range int64(bucketsPerSecond) {
+				sum += m[at+i]
+			}
+			out[z] = max(out[z], sum)
+		}
+	}
+	return out
+}
+
+// Close ends all connections.
+func (n *Network) Close() error {
+	n.mu.Lock()
+	n.closed = true
+	for _, l := range n.lis {
+		l.Close()
+	}
+	for c := range n.conns {
+		c.Close()
+	}
+	n.mu.Unlock()
+	return n.g.Close()
+}
--- /dev/null
+++ b/internal/script/cmds_test.go
@@ -0,0 +1,401 @@
+package script
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const poll = 50 * time.Millisecond
+
+type cmdFunc func(ts *testscript.TestScript, neg bool, args []string)
+
+var commands map[string]func(ts *testscript.TestScript, neg bool, args []string)
+
+func init() {
+	commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
+		"state": cmdState, "entry": cmdEntry, "target": cmdTarget, "restart": cmdRestart, "apply": cmdApply,
+		"ready": cmdReady, "halt": cmdHalt, "crash": each((*deployment).kill), "freeze": each((*deployment).freeze),
+		"thaw": each((*deployment).thaw), "cut": cmdCut(true), "heal": cmdCut(false), "wipe": cmdWipe,
+		"fault": cmdFault, "call": printing((*deployment).call), "ctl": printing((*deployment).ctl),
+		"leader": printing((*deployment).leader), "get": printing((*deployment).get1),
+		"load": cmdLoad, "loadwait": cmdLoadWait, "expect": cmdExpect, "never": cmdNever, "sleep": cmdSleep, "check": cmdCheck,
+	}
+}
+
+func of(ts *testscript.TestScript) *deployment {
+	return ts.Value(deploymentKey{}).(*deployment)
+}
+
+func need(ts *testscript.TestScript, args []string, n int, usage string) {
+	if len(args) < n {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+func number(ts *testscript.TestScript, s string) int {
+	n, err := strconv.Atoi(s)
+	ts.Check(err)
+	return n
+}
+
+func length(ts *testscript.TestScript, s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	ts.Check(err)
+	return d
+}
+
+func cmdState(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "state N")
+	ts.Check(of(ts).addStates(number(ts, args[0])))
+}
+
+func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "entry NAME DOMAIN")
+	ts.Check(of(ts).addEntry(args[0], args[1], args[2:]...))
+}
+
+func cmdTarget(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "target NAME SERVICE DOMAIN [flags...]")
+	ts.Check(of(ts).addTarget(args[0], args[1], args[2], args[3:]...))
+}
+
+func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	for _, a := range args {
+		p, err := of(ts).get(a)
+		ts.Check(err)
+		ts.Check(of(ts).start(p))
+	}
+}
+
+func cmdHalt(ts *testscript.TestScript, neg bool, args []string) {
+	for _, a := range args {
+		p, err := of(ts).get(a)
+		ts.Check(err)
+		if err := p.stop(); (err != nil) != neg {
+			ts.Fatalf("halt %s: %v", a, err)
+		}
+	}
+}
+
+func each(f func(d *deployment, p *process) error) cmdFunc {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		for _, a := range args {
+			if a == "leader" {
+				name, err := of(ts).leader(nil)
+				ts.Check(err)
+				a = strings.TrimSpace(name)
+			}
+			p, err := of(ts).get(a)
+			ts.Check(err)
+			ts.Check(f(of(ts), p))
+		}
+	}
+}
+
+func (d *deployment) kill(p *process) error {
+	p.kill()
+	return nil
+}
+
+func (d *deployment) freeze(p *process) error {
+	p.frozen = true
+	return p.cmd.Process.Signal(syscall.SIGSTOP)
+}
+
+func (d *deployment) thaw(p *process) error {
+	p.frozen = false
+	return p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+func cmdCut(cut bool) cmdFunc {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		need(ts, args, 2, "cut NAME NAME...")
+		d := of(ts)
+		a, err := d.get(args[0])
+		ts.Check(err)
+		for _, n := range args[1:] {
+			b, err := d.get(n)
+			ts.Check(err)
+			if cut {
+				d.net.Cut(a.ip, b.ip)
+			} else {
+				d.net.Heal(a.ip, b.ip)
+			}
+		}
+	}
+}
+
+func cmdWipe(ts *testscript.TestScript, _ bool, args []string) {
+	for _, a := range args {
+		ts.Check(os.RemoveAll(of(ts).data(a)))
+	}
+}
+
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "fault TARGET KIND")
+	p, err := of(ts).get(args[0])
+	ts.Check(err)
+	kind := args[1]
+	if kind == "none" {
+		kind = ""
+	}
+	res, err := http.Get("http://" + front(p.ip) + "/fake/fault?kind=" + kind)
+	ts.Check(err)
+	res.Body.Close()
+}
+
+func cmdSleep(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "sleep LENGTH")
+	time.Sleep(length(ts, args[0]))
+}
+
+func cmdApply(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "apply FILE")
+	d := of(ts)
+	until(ts, 30*time.Second, "apply", func() error {
+		_, err := d.ctl([]string{"apply", "-f", ts.MkAbs(args[0])})
+		return err
+	})
+}
+
+// until repeats a function until it succeeds.
+func until(ts *testscript.TestScript, d time.Duration, what string, f func() error) {
+	end := time.Now().Add(d)
+	for {
+		err := f()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			ts.Fatalf("%s: not within %s: %v", what, d, err)
+		}
+		time.Sleep(poll)
+	}
+}
+
+func cmdReady(ts *testscript.TestScript, _ bool, args []string) {
+	d := of(ts)
+	limit := 30 * time.Second
+	if len(args) > 0 {
+		limit = length(ts, args[0])
+	}
+	until(ts, limit, "ready", d.ready)
+}
+
+func (d *deployment) ready() error {
+	for _, e := range d.entries {
+		if !d.procs[e].running() || d.procs[e].frozen {
+			continue
+		}
+		if err := getOK("http://" + front(d.procs[e].ip) + "/readyz"); err != nil {
+			return err
+		}
+	}
+	out, err := d.ctl([]string{"status", "-o", "json"})
+	if err != nil {
+		return err
+	}
+	var s struct {
+		Targets []struct {
+			ID, Owner string
+			Ready     bool
+		}
+	}
+	if err := json.Unmarshal([]byte(out), &s); err != nil {
+		return err
+	}
+	owned := map[string]bool{}
+	for _, t := range s.Targets {
+		owned[t.ID] = t.Owner != "" && t.Ready
+	}
+	for _, t := range d.targets {
+		if d.procs[t].running() && !owned[t] {
+			return fmt.Errorf("target %s has no owner or is not ready", t)
+		}
+	}
+	return d.sitesSeen()
+}
+
+// sitesSeen checks that each entry's directory has the load of all owners: a renewal has passed since.
+func (d *deployment) sitesSeen() error {
+	time.Sleep(time.Second)
+	return nil
+}
+
+func getOK(url string) error {
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get(url)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s: status %d", url, res.StatusCode)
+	}
+	return nil
+}
+
+// printing makes a command of a function that returns output; "!" expects it to fail.
+func printing(f func(d *deployment, args []string) (string, error)) cmdFunc {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		out, err := f(of(ts), args)
+		_, werr := io.WriteString(ts.Stdout(), out)
+		ts.Check(werr)
+		if err != nil {
+			ts.Logf("%v", err)
+		}
+		if (err != nil) != neg {
+			ts.Fatalf("unexpected result %q: %v", out, err)
+		}
+	}
+}
+
+func (d *deployment) run(program string, args ...string) (string, error) {
+	c := exec.Command(filepath.Join(binaries, program), args...)
+	c.Dir = d.dir
+	c.Env = append(os.Environ(), "EEL_TOKEN="+adminToken, "EEL_ADDRS="+strings.Join(d.replicas, ","))
+	var out, bad bytes.Buffer
+	c.Stdout, c.Stderr = &out, &bad
+	err := c.Run()
+	if err != nil {
+		err = fmt.Errorf("%w: %s", err, bad.String())
+	}
+	return out.String() + bad.String(), err
+}
+
+func (d *deployment) ctl(args []string) (string, error) {
+	return d.run("eelctl", args...)
+}
+
+func (d *deployment) call(args []string) (string, error) {
+	a := []string{"call"}
+	if len(args) == 0 || args[0] != "--entry" {
+		for _, e := range d.entryAddrs() {
+			a = append(a, "--entry", e)
+		}
+	} else {
+		p, err := d.get(args[1])
+		if err != nil {
+			return "", err
+		}
+		a = append(a, "--entry", front(p.ip))
+		args = args[2:]
+	}
+	return d.run("eelfake", append(a, args...)...)
+}
+
+// get1 prints what a process answers to a GET: get NAME PATH.
+func (d *deployment) get1(args []string) (string, error) {
+	p, err := d.get(args[0])
+	if err != nil {
+		return "", err
+	}
+	c := http.Client{Timeout: time.Second}
+	res, err := c.Get("http://" + front(p.ip) + args[1])
+	if err != nil {
+		return "", err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return fmt.Sprintf("%d %s\n", res.StatusCode, b), err
+}
+
+func (d *deployment) leader([]string) (string, error) {
+	for i, r := range d.replicas {
+		name := fmt.Sprintf("state%d", i+1)
+		if p, ok := d.procs[name]; !ok || !p.running() || p.frozen {
+			continue
+		}
+		c := http.Client{Timeout: time.Second}
+		res, err := c.Get("http://" + r + wire.PathStatus + "?self=1")
+		if err != nil {
+			continue
+		}
+		var s wire.Status
+		var n node.Status
+		err = json.NewDecoder(res.Body).Decode(&s)
+		res.Body.Close()
+		if err == nil && json.Unmarshal(s.Replica, &n) == nil && n.Role == "leader" {
+			return name + "\n", nil
+		}
+	}
+	return "", fmt.Errorf("no replica leads")
+}
+
+func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "expect TIMEOUT REGEXP COMMAND...")
+	re := regexp.MustCompile(args[1])
+	until(ts, length(ts, args[0]), strings.Join(args[2:], " "), func() error {
+		out, err := output(ts, args[2:])
+		if !re.MatchString(out) {
+			return fmt.Errorf("output %q does not match %q (%v)", out, re, err)
+		}
+		return nil
+	})
+}
+
+func cmdNever(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "never LENGTH REGEXP COMMAND...")
+	re := regexp.MustCompile(args[1])
+	end := time.Now().Add(length(ts, args[0]))
+	for time.Now().Before(end) {
+		if out, _ := output(ts, args[2:]); re.MatchString(out) {
+			ts.Fatalf("output %q matches %q", out, re)
+		}
+		time.Sleep(poll)
+	}
+}
+
+func output(ts *testscript.TestScript, args []string) (string, error) {
+	d := of(ts)
+	f := map[string]func(*deployment, []string) (string, error){
+		"call": (*deployment).call, "ctl": (*deployment).ctl, "leader": (*deployment).leader, "get": (*deployment).get1,
+	}[args[0]]
+	if f == nil {
+		ts.Fatalf("command %q prints nothing", args[0])
+	}
+	return f(d, args[1:])
+}
+
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 2, "load NAME [flags...]")
+	d := of(ts)
+	a := []string{"load", "--prefix", args[0], "--journal", filepath.Join(d.dir, args[0]+".load")}
+	for _, e := range d.entryAddrs() {
+		a = append(a, "--entry", e)
+	}
+	l := &load{cmd: exec.Command(filepath.Join(binaries, "eelfake"), append(a, args[1:]...)...), out: &bytes.Buffer{}, done: make(chan error, 1)}
+	l.cmd.Stdout, l.cmd.Stderr = l.out, l.out
+	ts.Check(l.cmd.Start())
+	go func() { l.done <- l.cmd.Wait() }()
+	d.loads[args[0]] = l
+}
+
+func cmdLoadWait(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "loadwait NAME")
+	l, ok := of(ts).loads[args[0]]
+	if !ok {
+		ts.Fatalf("load %q does not exist", args[0])
+	}
+	err := <-l.done
+	l.done <- err
+	_, werr := io.WriteString(ts.Stdout(), l.out.String())
+	ts.Check(werr)
+	ts.Logf("%s", l.out.String())
+	ts.Check(err)
+}
--- /dev/null
+++ b/internal/script/deploy_test.go
@@ -0,0 +1,208 @@
+package script
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/relay"
+)
+
+const (
+	frontPort  = 7100
+	behindPort = 7101
+	adminToken = "scenario-admin-token"
+	sharedKey  = "scenario-key"
+	stopLimit  = 40 * time.Second
+)
+
+type deploymentKey struct{}
+
+var scenarios atomic.Int64
+
+// process is one program that a scenario started.
+type process struct {
+	name, program string
+	args          []string
+	ip            string
+	cmd           *exec.Cmd
+	log           *os.File
+	done          chan error
+	exit          error
+	frozen        bool
+}
+
+// load is a load that runs beside the scenario.
+type load struct {
+	cmd  *exec.Cmd
+	out  *bytes.Buffer
+	done chan error
+	exit error
+}
+
+// deployment is the processes of one scenario.
+type deployment struct {
+	dir      string
+	octet    int64
+	net      *relay.Network
+	procs    map[string]*process
+	entries  []string
+	replicas []string
+	targets  []string
+	loads    map[string]*load
+}
+
+func newDeployment(dir string) *deployment {
+	o := 16 + (int64(os.Getpid())*13+scenarios.Add(1))%200
+	return &deployment{
+		dir: dir, octet: o, net: relay.New(), procs: map[string]*process{}, loads: map[string]*load{},
+	}
+}
+
+func (d *deployment) close() {
+	for _, l := range d.loads {
+		if l.cmd.ProcessState == nil {
+			_ = l.cmd.Process.Kill()
+			l.exit = <-l.done
+		}
+	}
+	for _, p := range d.procs {
+		p.kill()
+	}
+	_ = d.net.Close()
+}
+
+func (d *deployment) ip(kind, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.octet, kind, n)
+}
+
+func front(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(frontPort)) }
+
+func (d *deployment) journal() string { return filepath.Join(d.dir, "runs.journal") }
+
+// add starts a process behind a front of the relay.
+func (d *deployment) add(name, program, ip string, args ...string) error {
+	if _, ok := d.procs[name]; ok {
+		return fmt.Errorf("process %q exists already", name)
+	}
+	behind := net.JoinHostPort(ip, fmt.Sprint(behindPort))
+	if err := d.net.Front(front(ip), behind); err != nil {
+		return err
+	}
+	args = append(args, "--listen", behind, "--advertise", front(ip), "--bind-source")
+	p := &process{name: name, program: program, ip: ip, args: args}
+	d.procs[name] = p
+	return d.start(p)
+}
+
+func (d *deployment) start(p *process) error {
+	f, err := os.OpenFile(filepath.Join(d.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	p.log = f
+	p.cmd = exec.Command(filepath.Join(binaries, p.program), p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = f, f
+	p.cmd.Env = append(os.Environ(), "EEL_KEY="+sharedKey, "EEL_ADMIN_TOKEN="+adminToken, "EEL_LOG_LEVEL=debug")
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.done = make(chan error, 1)
+	p.frozen = false
+	cmd, done := p.cmd, p.done
+	go func() { done <- cmd.Wait() }()
+	return nil
+}
+
+func (p *process) running() bool { return p.done != nil }
+
+func (p *process) kill() {
+	if !p.running() {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	p.exit = <-p.done
+	p.done = nil
+	p.log.Close()
+}
+
+// stop asks for a planned stop and waits.
+func (p *process) stop() error {
+	if !p.running() {
+		return errors.New("process does not run")
+	}
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case err := <-p.done:
+		p.done = nil
+		p.log.Close()
+		return err
+	case <-time.After(stopLimit):
+		return fmt.Errorf("process has not stopped in %s", stopLimit)
+	}
+}
+
+func (d *deployment) get(name string) (*process, error) {
+	p, ok := d.procs[name]
+	if !ok {
+		return nil, fmt.Errorf("process %q does not exist", name)
+	}
+	return p, nil
+}
+
+func (d *deployment) addStates(n int) error {
+	var peers, list []string
+	for i := 1; i <= n; i++ {
+		peers = append(peers, fmt.Sprintf("--replica=%d=%s", i, front(d.ip(1, i))))
+		list = append(list, front(d.ip(1, i)))
+	}
+	d.replicas = list
+	for i := 1; i <= n; i++ {
+		name := fmt.Sprintf("state%d", i)
+		args := append(slices.Clone(peers), "--id", fmt.Sprint(i), "--data", d.data(name), "--snapshot-bytes", "65536")
+		if err := d.add(name, "eelstate", d.ip(1, i), args...); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) data(name string) string { return filepath.Join(d.dir, name+".data") }
+
+func (d *deployment) addEntry(name, domain string, extra ...string) error {
+	ip := d.ip(2, len(d.entries)+1)
+	d.entries = append(d.entries, name)
+	args := []string{"--id", name, "--failure-domain", domain, "--list-life", "1s"}
+	for _, r := range d.replicas {
+		args = append(args, "--replica", r)
+	}
+	return d.add(name, "eelentry", ip, append(args, extra...)...)
+}
+
+func (d *deployment) addTarget(name, service, domain string, extra ...string) error {
+	ip := d.ip(3, len(d.targets)+1)
+	d.targets = append(d.targets, name)
+	args := []string{"target", "--id", name, "--service", service, "--failure-domain", domain, "--journal", d.journal()}
+	for _, e := range d.entryAddrs() {
+		args = append(args, "--entry", e)
+	}
+	return d.add(name, "eelfake", ip, append(args, extra...)...)
+}
+
+func (d *deployment) entryAddrs() []string {
+	var out []string
+	for _, e := range d.entries {
+		out = append(out, front(d.procs[e].ip))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/script/script_test.go
@@ -0,0 +1,51 @@
+package script
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(runAll(m))
+}
+
+func runAll(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "eel")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binaries = dir
+	out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/...").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func TestScript(t *testing.T) {
+	examples, err := filepath.Abs("../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(e *testscript.Env) error {
+			e.Setenv("EXAMPLES", examples)
+			d := newDeployment(e.WorkDir)
+			e.Values[deploymentKey{}] = d
+			e.Defer(d.close)
+			return nil
+		},
+		Cmds: commands,
+	})
+}
--- /dev/null
+++ b/internal/server/peers.go
@@ -0,0 +1,45 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+)
+
+const idlePerHost = 16
+
+// Peers sends consensus messages by Twirp.
+type Peers struct {
+	c       *http.Client
+	clients sync.Map
+}
+
+// NewPeers returns a transport that signs with the key; a nil dialer is the default one.
+func NewPeers(k *guard.Key, d setup.Dialer) *Peers {
+	t := &http.Transport{MaxIdleConnsPerHost: idlePerHost, DialContext: d}
+	return &Peers{c: &http.Client{Transport: k.Transport(t)}}
+}
+
+func (p *Peers) client(addr string) eelpb.Replica {
+	if c, ok := p.clients.Load(addr); ok {
+		return c.(eelpb.Replica)
+	}
+	c := eelpb.NewReplicaProtobufClient("http://"+addr, p.c)
+	p.clients.Store(addr, c)
+	return c
+}
+
+// Send delivers messages to the replica at the address.
+func (p *Peers) Send(ctx context.Context, addr string, m []*eelpb.Message) error {
+	_, err := p.client(addr).Step(ctx, &eelpb.StepRequest{Messages: m})
+	return err
+}
+
+// Identify asks the replica at the address who it is.
+func (p *Peers) Identify(ctx context.Context, addr string) (*eelpb.IdentifyReply, error) {
+	return p.client(addr).Identify(ctx, &eelpb.IdentifyRequest{})
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,229 @@
+// Package server is the network face of a state replica: the Twirp services
+// for entries and other replicas, and the HTTP API for operators.
+//
+// # Usage
+//
+//	s, err := server.New(server.Options{Node: n, Key: k, AdminTokenHash: h, Log: l})
+//	http.Serve(listener, s.Handler())
+//
+// # Operators' API (JSON, camelCase)
+//
+//	GET  /v1/catalogue           {"version": 7, "objects": [...]}
+//	POST /v1/changes             {"changeId", "baseVersion", "put": [...], "remove": ["kind/name"]}
+//	GET  /v1/changes/{id}        the result of a change
+//	GET  /v1/status              the leader, the VMs and the targets; ?self=1 for this replica
+//	POST /v1/replicas            {"action": "add|remove|replace", "id": 3, "addr": "127.0.0.1:7100"}
+//
+// Writing needs "Authorization: Bearer TOKEN". A replica that is not the leader
+// answers 421 with the leader's address in Eel-Leader.
+package server
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/lease"
+	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/internal/raft"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/labstack/echo/v4"
+	"github.com/twitchtv/twirp"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindInvalid   Kind = "invalid"
+	KindForbidden Kind = "forbidden"
+	KindReused    Kind = "changeIdReused"
+	KindNotLeader Kind = "notLeader"
+	KindUnknown   Kind = "outcomeUnknown"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	maxPullWait   = 30 * time.Second
+	commitTimeout = 3 * time.Second
+)
+
+// Options are the settings of a server.
+type Options struct {
+	Node *node.Node
+	Key  *guard.Key
+	// AdminTokenHash is the SHA-256 of the token that may change everything.
+	AdminTokenHash string
+	LeaseLength    time.Duration
+	Log            log.Logger
+}
+
+// Server answers entries, replicas and operators.
+type Server struct {
+	o Options
+	e *echo.Echo
+
+	mu        sync.Mutex
+	term      raft.Term
+	grantor   *lease.Grantor
+	catalogue *model.Catalogue
+}
+
+// New returns a server for a replica.
+func New(o Options) (*Server, error) {
+	s := &Server{o: o, e: echo.New()}
+	if err := s.refresh(); err != nil {
+		return nil, err
+	}
+	s.routes()
+	return s, nil
+}
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler { return s.e }
+
+func (s *Server) routes() {
+	r := eelpb.NewReplicaServer(replicaService{s})
+	t := eelpb.NewStateServer(stateService{s})
+	s.e.Any(r.PathPrefix()+"*", echo.WrapHandler(s.o.Key.Require(r)))
+	s.e.Any(t.PathPrefix()+"*", echo.WrapHandler(s.o.Key.Require(t)))
+	s.e.GET(wire.PathCatalogue, s.getCatalogue)
+	s.e.POST(wire.PathChanges, s.postChange)
+	s.e.GET(wire.PathChanges+"/:id", s.getChange)
+	s.e.GET(wire.PathStatus, s.getStatus)
+	s.e.POST(wire.PathReplicas, s.postReplica)
+	s.e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	s.e.GET("/readyz", s.ready)
+	s.e.GET("/debug/vars", echo.WrapHandler(expvarHandler()))
+}
+
+func (s *Server) ready(c echo.Context) error {
+	if s.o.Node.Status().Leader == 0 {
+		return c.String(http.StatusServiceUnavailable, "no leader is known\n")
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+// refresh builds the catalogue if the state machine has a newer one.
+func (s *Server) refresh() error {
+	if s.catalogue != nil && s.catalogue.Version == s.o.Node.Machine().Version() {
+		return nil
+	}
+	o, v := s.o.Node.Machine().Objects()
+	c, err := model.NewCatalogue(v, o)
+	if err != nil {
+		return err
+	}
+	s.catalogue = c
+	return nil
+}
+
+// lead returns the grantor of this leadership with the catalogue; the caller holds mu.
+func (s *Server) lead() (*lease.Grantor, *model.Catalogue, bool) {
+	t, won, ok := s.o.Node.Leadership()
+	if !ok {
+		return nil, nil, false
+	}
+	if err := s.refresh(); err != nil {
+		level.Error(s.o.Log).Log("msg", "catalogue does not build", "err", err)
+		return nil, nil, false
+	}
+	if s.grantor == nil || s.term != t {
+		s.term = t
+		s.grantor = lease.New(lease.Options{Length: s.o.LeaseLength}, won, uint64(t))
+	}
+	return s.grantor, s.catalogue, true
+}
+
+type replicaService struct{ s *Server }
+
+// Step takes consensus messages.
+func (r replicaService) Step(_ context.Context, q *eelpb.StepRequest) (*eelpb.StepReply, error) {
+	r.s.o.Node.Step(q.Messages)
+	return &eelpb.StepReply{}, nil
+}
+
+// Identify tells who the replica is.
+func (r replicaService) Identify(context.Context, *eelpb.IdentifyRequest) (*eelpb.IdentifyReply, error) {
+	return r.s.o.Node.Identify(), nil
+}
+
+type stateService struct{ s *Server }
+
+// MetaLeader is the Twirp error's meta key that carries the leader's address.
+const MetaLeader = "leader"
+
+func (s *Server) notLeader() error {
+	return twirp.NewError(twirp.FailedPrecondition, "replica is not the leader").
+		WithMeta(MetaLeader, s.o.Node.Status().LeaderAddr)
+}
+
+// Renew extends an entry's lease.
+func (t stateService) Renew(_ context.Context, q *eelpb.RenewRequest) (*eelpb.RenewReply, error) {
+	s := t.s
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g, c, ok := s.lead()
+	if !ok {
+		return nil, s.notLeader()
+	}
+	a, err := g.Renew(q, c, s.o.Node.Now())
+	if fault.Is(err, lease.KindUnknown) {
+		return nil, twirp.NewError(twirp.InvalidArgument, err.Error())
+	}
+	if err != nil {
+		return nil, twirp.NewError(twirp.AlreadyExists, err.Error())
+	}
+	// A process that was frozen since must not grant in the name of a past leadership.
+	if _, _, ok := s.o.Node.Leadership(); !ok {
+		return nil, s.notLeader()
+	}
+	return a, nil
+}
+
+// Pull returns what changed in the catalogue after a version, and waits for a change.
+func (t stateService) Pull(ctx context.Context, q *eelpb.PullRequest) (*eelpb.PullReply, error) {
+	m := t.s.o.Node.Machine()
+	wait := min(time.Duration(q.WaitMs)*time.Millisecond, maxPullWait)
+	changed := m.Changed()
+	if uint64(m.Version()) > q.Version || wait <= 0 {
+		return m.Delta(q.Version), nil
+	}
+	w := time.NewTimer(wait)
+	defer w.Stop()
+	select {
+	case <-changed:
+	case <-w.C:
+	case <-ctx.Done():
+	case <-t.s.o.Node.Done():
+	}
+	if uint64(m.Version()) < q.Version {
+		return nil, twirp.NewError(twirp.Unavailable, "replica is behind the version asked for")
+	}
+	return m.Delta(q.Version), nil
+}
+
+// Claim commits an operation on a claim.
+func (t stateService) Claim(ctx context.Context, q *eelpb.ClaimOp) (*eelpb.ClaimReply, error) {
+	if !t.s.o.Node.IsLeader() {
+		return nil, t.s.notLeader()
+	}
+	r, err := t.s.o.Node.Propose(ctx, &eelpb.Command{Claims: []*eelpb.ClaimOp{q}})
+	if fault.Is(err, node.KindNotLeader) {
+		return nil, t.s.notLeader()
+	}
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return r.Claims[0], nil
+}
--- /dev/null
+++ b/internal/state/claims.go
@@ -0,0 +1,181 @@
+package state
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+)
+
+// claims holds one record for each request that runs at most once.
+//
+// A record moves from taken to done or unknown, and none of them ever moves
+// back but by a reopen, which the owner sends when the target refused the
+// request before it started. A closed record proves that its attempt and all
+// earlier ones never run; a later attempt may take it again.
+type claims struct {
+	l       Limits
+	records map[string]*eelpb.ClaimRecord
+	// queue holds request ids in the order of their first claim, to expire them.
+	queue []queued
+	bytes int64
+}
+
+type queued struct {
+	id   string
+	atMs int64
+}
+
+func newClaims(l Limits) claims {
+	return claims{l: l, records: map[string]*eelpb.ClaimRecord{}}
+}
+
+func (c *claims) apply(o *eelpb.ClaimOp, nowMs int64) *eelpb.ClaimReply {
+	r, ok := c.records[o.RequestId]
+	if !ok {
+		return c.first(o, nowMs)
+	}
+	if len(o.Digest) > 0 && !bytes.Equal(r.Digest, o.Digest) {
+		return &eelpb.ClaimReply{Mismatch: true, Record: r}
+	}
+	switch o.Kind {
+	case eelpb.ClaimKind_CLAIM_TAKE:
+		return c.take(r, o)
+	case eelpb.ClaimKind_CLAIM_CLOSE:
+		return c.close(r, o)
+	case eelpb.ClaimKind_CLAIM_FINISH:
+		return c.finish(r, o)
+	case eelpb.ClaimKind_CLAIM_REOPEN:
+		return c.reopen(r, o)
+	}
+	return &eelpb.ClaimReply{Record: r}
+}
+
+// first makes the record of a request id that was not seen before.
+func (c *claims) first(o *eelpb.ClaimOp, nowMs int64) *eelpb.ClaimReply {
+	var s eelpb.ClaimState
+	switch o.Kind {
+	case eelpb.ClaimKind_CLAIM_TAKE:
+		s = eelpb.ClaimState_CLAIM_TAKEN
+	case eelpb.ClaimKind_CLAIM_CLOSE:
+		s = eelpb.ClaimState_CLAIM_CLOSED
+	default:
+		return &eelpb.ClaimReply{}
+	}
+	if len(c.records) >= c.l.MaxClaims {
+		return &eelpb.ClaimReply{Full: true}
+	}
+	r := &eelpb.ClaimRecord{
+		RequestId: o.RequestId, Digest: o.Digest, Attempt: o.Attempt, Vm: o.Vm, Token: o.Token, State: s, AtMs: nowMs,
+	}
+	c.put(r)
+	c.queue = append(c.queue, queued{id: o.RequestId, atMs: nowMs})
+	return &eelpb.ClaimReply{Ok: true, Record: r}
+}
+
+func (c *claims) put(r *eelpb.ClaimRecord) {
+	if old, ok := c.records[r.RequestId]; ok {
+		c.bytes -= int64(len(old.Answer.GetBody()))
+	}
+	c.bytes += int64(len(r.Answer.GetBody()))
+	c.records[r.RequestId] = r
+}
+
+// copyOf returns a copy of the record, since readers may hold the record itself.
+func copyOf(r *eelpb.ClaimRecord) *eelpb.ClaimRecord {
+	return &eelpb.ClaimRecord{
+		RequestId: r.RequestId, Digest: r.Digest, Attempt: r.Attempt, Vm: r.Vm, Token: r.Token,
+		State: r.State, Answer: r.Answer, AtMs: r.AtMs,
+	}
+}
+
+func (c *claims) take(r *eelpb.ClaimRecord, o *eelpb.ClaimOp) *eelpb.ClaimReply {
+	if r.State == eelpb.ClaimState_CLAIM_TAKEN && r.Token == o.Token && r.Vm == o.Vm {
+		return &eelpb.ClaimReply{Ok: true, Record: r}
+	}
+	if r.State != eelpb.ClaimState_CLAIM_CLOSED || o.Attempt <= r.Attempt {
+		return &eelpb.ClaimReply{Record: r}
+	}
+	n := copyOf(r)
+	n.State, n.Attempt, n.Vm, n.Token = eelpb.ClaimState_CLAIM_TAKEN, o.Attempt, o.Vm, o.Token
+	c.put(n)
+	return &eelpb.ClaimReply{Ok: true, Record: n}
+}
+
+func (c *claims) close(r *eelpb.ClaimRecord, o *eelpb.ClaimOp) *eelpb.ClaimReply {
+	if r.State != eelpb.ClaimState_CLAIM_CLOSED {
+		return &eelpb.ClaimReply{Record: r}
+	}
+	if o.Attempt > r.Attempt {
+		n := copyOf(r)
+		n.Attempt = o.Attempt
+		c.put(n)
+		r = n
+	}
+	return &eelpb.ClaimReply{Ok: true, Record: r}
+}
+
+func (c *claims) finish(r *eelpb.ClaimRecord, o *eelpb.ClaimOp) *eelpb.ClaimReply {
+	if r.State != eelpb.ClaimState_CLAIM_TAKEN || r.Token != o.Token || r.Vm != o.Vm {
+		return &eelpb.ClaimReply{Record: r}
+	}
+	n := copyOf(r)
+	n.State = eelpb.ClaimState_CLAIM_DONE
+	if o.Unknown {
+		n.State = eelpb.ClaimState_CLAIM_UNKNOWN
+	}
+	n.Answer = o.Answer
+	if c.bytes+int64(len(o.Answer.GetBody())) > c.l.MaxClaimBytes {
+		n.Answer = &eelpb.Answer{Status: o.Answer.GetStatus(), Truncated: true}
+	}
+	c.put(n)
+	return &eelpb.ClaimReply{Ok: true, Record: n}
+}
+
+// reopen closes a taken claim whose dispatch is proved not to have run.
+func (c *claims) reopen(r *eelpb.ClaimRecord, o *eelpb.ClaimOp) *eelpb.ClaimReply {
+	if r.State != eelpb.ClaimState_CLAIM_TAKEN || r.Token != o.Token || r.Vm != o.Vm {
+		return &eelpb.ClaimReply{Record: r}
+	}
+	n := copyOf(r)
+	n.State = eelpb.ClaimState_CLAIM_CLOSED
+	c.put(n)
+	return &eelpb.ClaimReply{Ok: true, Record: n}
+}
+
+// expire forgets claims that are older than their stated life.
+func (c *claims) expire(nowMs int64) {
+	limit := nowMs - c.l.ClaimLife.Milliseconds()
+	n := 0
+	for n < len(c.queue) && c.queue[n].atMs < limit {
+		id := c.queue[n].id
+		c.bytes -= int64(len(c.records[id].Answer.GetBody()))
+		delete(c.records, id)
+		n++
+	}
+	if n > 0 {
+		c.queue = slices.Clone(c.queue[n:])
+	}
+}
+
+func (c *claims) image() []*eelpb.ClaimRecord {
+	out := make([]*eelpb.ClaimRecord, 0, len(c.records))
+	for _, q := range c.queue {
+		out = append(out, c.records[q.id])
+	}
+	return out
+}
+
+func (c *claims) restore(records []*eelpb.ClaimRecord) {
+	for _, r := range records {
+		c.put(r)
+		c.queue = append(c.queue, queued{id: r.RequestId, atMs: r.AtMs})
+	}
+	slices.SortStableFunc(c.queue, func(a, b queued) int {
+		if a.atMs != b.atMs {
+			return int(a.atMs - b.atMs)
+		}
+		return strings.Compare(a.id, b.id)
+	})
+}
--- /dev/null
+++ b/internal/state/state.go
@@ -0,0 +1,305 @@
+// Package state is the replicated state machine: the catalogue of owned
+// objects, the results of changes, and the claims of requests that run at most
+// once. Every replica applies the same commands in the same order.
+//
+// # Usage
+//
+//	m := state.New(state.Limits{})
+//	r := m.Apply(command)
+//	image := m.Image()
+//	m.Restore(image)
+//
+// A Machine is safe for concurrent use; reads do not wait for the log.
+package state
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	// DefaultMaxResults bounds the results of changes that are kept for resends.
+	DefaultMaxResults = 50_000
+	// DefaultMaxTombstones bounds the removed objects that deltas can still tell of.
+	DefaultMaxTombstones = 10_000
+	// DefaultMaxClaims bounds the claims that are kept.
+	DefaultMaxClaims = 1_000_000
+	// DefaultMaxClaimBytes bounds the answers that claims keep.
+	DefaultMaxClaimBytes = 256 << 20
+	// DefaultClaimLife is how long a claim is kept.
+	DefaultClaimLife = 24 * time.Hour
+	// MaxKeptAnswer is the largest answer that a claim keeps.
+	MaxKeptAnswer = 64 << 10
+)
+
+// Limits bounds what the machine keeps.
+type Limits struct {
+	MaxResults    int
+	MaxTombstones int
+	MaxClaims     int
+	MaxClaimBytes int64
+	ClaimLife     time.Duration
+}
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxResults == 0 {
+		l.MaxResults = DefaultMaxResults
+	}
+	if l.MaxTombstones == 0 {
+		l.MaxTombstones = DefaultMaxTombstones
+	}
+	if l.MaxClaims == 0 {
+		l.MaxClaims = DefaultMaxClaims
+	}
+	if l.MaxClaimBytes == 0 {
+		l.MaxClaimBytes = DefaultMaxClaimBytes
+	}
+	if l.ClaimLife == 0 {
+		l.ClaimLife = DefaultClaimLife
+	}
+	return l
+}
+
+// Result is what applying a command gave.
+type Result struct {
+	Change *eelpb.ChangeResult
+	Claims []*eelpb.ClaimReply
+}
+
+// Machine is the state of one replica.
+type Machine struct {
+	mu      sync.RWMutex
+	l       Limits
+	version uint64
+	objects map[string]*eelpb.Object
+	// removed holds tombstones in the order of their versions.
+	removed    []*eelpb.Object
+	floor      uint64
+	results    map[string]*eelpb.ChangeResult
+	order      []string
+	lastChange string
+	lastAuthor string
+	nowMs      int64
+	claims     claims
+	changed    chan struct{}
+}
+
+// New returns an empty machine.
+func New(l Limits) *Machine {
+	l = l.withDefaults()
+	return &Machine{
+		l: l, objects: map[string]*eelpb.Object{}, results: map[string]*eelpb.ChangeResult{},
+		claims: newClaims(l), changed: make(chan struct{}),
+	}
+}
+
+// Apply applies one command of the log.
+func (m *Machine) Apply(c *eelpb.Command) Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nowMs = max(m.nowMs, c.NowMs)
+	var r Result
+	if c.Change != nil {
+		r.Change = m.change(c.Change)
+	}
+	if len(c.Claims) > 0 {
+		m.claims.expire(m.nowMs)
+	}
+	for _, o := range c.Claims {
+		r.Claims = append(r.Claims, m.claims.apply(o, m.nowMs))
+	}
+	return r
+}
+
+// change applies a change of the catalogue. The first result of a change id stays its result.
+func (m *Machine) change(c *eelpb.Change) *eelpb.ChangeResult {
+	if r, ok := m.results[c.ChangeId]; ok {
+		return r
+	}
+	r := &eelpb.ChangeResult{ChangeId: c.ChangeId, Digest: c.Digest, AtMs: m.nowMs}
+	if c.BaseVersion != m.version {
+		r.Version = m.version
+		r.WinnerChangeId, r.WinnerAuthor = m.lastChange, m.lastAuthor
+		m.keep(r)
+		return r
+	}
+	m.version++
+	r.Accepted, r.Version = true, m.version
+	m.lastChange, m.lastAuthor = c.ChangeId, c.Author
+	for _, o := range c.Objects {
+		m.put(o)
+	}
+	m.keep(r)
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return r
+}
+
+func (m *Machine) put(o *eelpb.Object) {
+	k := o.Kind + "/" + o.Name
+	n := &eelpb.Object{Kind: o.Kind, Name: o.Name, Owner: o.Owner, Spec: o.Spec, Version: m.version, Removed: o.Removed}
+	if !o.Removed {
+		m.objects[k] = n
+		return
+	}
+	delete(m.objects, k)
+	m.removed = append(m.removed, n)
+	if extra := len(m.removed) - m.l.MaxTombstones; extra > 0 {
+		m.floor = m.removed[extra-1].Version
+		m.removed = slices.Clone(m.removed[extra:])
+	}
+}
+
+func (m *Machine) keep(r *eelpb.ChangeResult) {
+	m.results[r.ChangeId] = r
+	m.order = append(m.order, r.ChangeId)
+	if extra := len(m.order) - m.l.MaxResults; extra > 0 {
+		for _, id := range m.order[:extra] {
+			delete(m.results, id)
+		}
+		m.order = slices.Clone(m.order[extra:])
+	}
+}
+
+// Version returns the version of the catalogue.
+func (m *Machine) Version() model.Version {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return model.Version(m.version)
+}
+
+// Result returns the result of a change that was applied before.
+func (m *Machine) Result(changeID string) (*eelpb.ChangeResult, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, ok := m.results[changeID]
+	return r, ok
+}
+
+// Claim returns the claim of a request id.
+func (m *Machine) Claim(id model.RequestID) (*eelpb.ClaimRecord, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, ok := m.claims.records[string(id)]
+	return r, ok
+}
+
+// Claims returns how many claims are kept, and the bytes of their answers.
+func (m *Machine) Claims() (int, int64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return len(m.claims.records), m.claims.bytes
+}
+
+// Changed returns a channel that is closed at the next change of the catalogue.
+func (m *Machine) Changed() <-chan struct{} {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.changed
+}
+
+// Delta returns what changed after a version: the objects, or all of them
+// where the version is too old to tell what was removed since.
+func (m *Machine) Delta(after uint64) *eelpb.PullReply {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r := &eelpb.PullReply{Version: m.version, Snapshot: after < m.floor || after == 0}
+	if r.Snapshot {
+		after = 0
+	}
+	for _, o := range m.objects {
+		if o.Version > after {
+			r.Objects = append(r.Objects, o)
+		}
+	}
+	if !r.Snapshot {
+		r.Objects = append(r.Objects, m.removedAfter(after)...)
+	}
+	return r
+}
+
+// removedAfter returns the tombstones after a version of objects that were not put again.
+func (m *Machine) removedAfter(after uint64) []*eelpb.Object {
+	var out []*eelpb.Object
+	for _, o := range m.removed {
+		if o.Version <= after {
+			continue
+		}
+		if _, ok := m.objects[o.Kind+"/"+o.Name]; !ok {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+// Objects returns the objects of the catalogue and its version.
+func (m *Machine) Objects() ([]model.Object, model.Version) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	out := make([]model.Object, 0, len(m.objects))
+	for _, o := range m.objects {
+		out = append(out, ToModel(o))
+	}
+	slices.SortFunc(out, func(a, b model.Object) int { return strings.Compare(a.Key(), b.Key()) })
+	return out, model.Version(m.version)
+}
+
+// ToModel returns the object in the form of the catalogue.
+func ToModel(o *eelpb.Object) model.Object {
+	return model.Object{
+		Kind: model.ObjectKind(o.Kind), Name: o.Name, Owner: model.OwnerID(o.Owner),
+		Version: model.Version(o.Version), Spec: o.Spec,
+	}
+}
+
+// Image returns the whole state.
+func (m *Machine) Image() *eelpb.StateImage {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := &eelpb.StateImage{
+		Version: m.version, NowMs: m.nowMs, TombstoneFloor: m.floor,
+		LastChangeId: m.lastChange, LastAuthor: m.lastAuthor,
+	}
+	for _, o := range m.objects {
+		s.Objects = append(s.Objects, o)
+	}
+	slices.SortFunc(s.Objects, func(a, b *eelpb.Object) int {
+		return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name)
+	})
+	s.Objects = append(s.Objects, m.removed...)
+	for _, id := range m.order {
+		s.Results = append(s.Results, m.results[id])
+	}
+	s.Claims = m.claims.image()
+	return s
+}
+
+// Restore replaces the state by an image.
+func (m *Machine) Restore(s *eelpb.StateImage) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version, m.nowMs, m.floor = s.Version, s.NowMs, s.TombstoneFloor
+	m.lastChange, m.lastAuthor = s.LastChangeId, s.LastAuthor
+	m.objects, m.removed = map[string]*eelpb.Object{}, nil
+	for _, o := range s.Objects {
+		if o.Removed {
+			m.removed = append(m.removed, o)
+			continue
+		}
+		m.objects[o.Kind+"/"+o.Name] = o
+	}
+	m.results, m.order = map[string]*eelpb.ChangeResult{}, nil
+	for _, r := range s.Results {
+		m.results[r.ChangeId] = r
+		m.order = append(m.order, r.ChangeId)
+	}
+	m.claims = newClaims(m.l)
+	m.claims.restore(s.Claims)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/steer/steer.go
@@ -0,0 +1,253 @@
+// Package steer decides where a request goes: first a site (a failure domain
+// with an owner of targets in it), by the policy of the request. It is pure:
+// tables and loads in, a choice out, without locks or allocation.
+//
+// Policies only order the sites. What a site, a link or a shift cap can carry
+// is enforced after the choice, whatever the policy.
+//
+// # Usage
+//
+//	t := steer.NewTable(catalogue, home, vms)
+//	s := t.Sites("registry")
+//	i := steer.Choose(steer.Query{Policy: p, Home: "attiki"}, s, tried)
+//
+// The choice of the less loaded of two random sites is from Mitzenmacher, "The
+// Power of Two Choices in Randomized Load Balancing" (2001).
+package steer
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	// staleAfter is the age at which a report starts to count for less.
+	staleAfter = time.Second
+	// staleFull is the age at which a site counts as full.
+	staleFull = 4 * time.Second
+	// maxCandidates bounds the sites that one decision looks at.
+	maxCandidates = 16
+	// defaultLinkPrice is what a full link adds to a site's cost.
+	defaultLinkPrice = 100 * time.Millisecond
+)
+
+// Site is the targets of one service in one failure domain that one VM owns.
+type Site struct {
+	VM      model.VMID
+	Addr    string
+	Domain  model.FailureDomainID
+	Region  model.RegionID
+	Slots   int32
+	Load    int32
+	Latency time.Duration
+	// Delay is the way there and back from this VM.
+	Delay time.Duration
+	// Local marks targets that this VM owns itself.
+	Local bool
+	// HeardAt is when the load was reported.
+	HeardAt time.Duration
+	// Gauge is what this VM itself sees of the owner.
+	Gauge *Gauge
+	// Link is the used part of the link to the region, from 0 to 1.
+	Link func() float64
+}
+
+// Gauge is what a VM sees of an owner's load of a service. It is safe for concurrent use.
+type Gauge struct {
+	// Sent counts the VM's own requests in progress there.
+	Sent atomic.Int32
+	// Load is the load that the owner's last answer told, and At when.
+	Load atomic.Int32
+	At   atomic.Int64
+}
+
+// See takes the load that an answer told.
+func (g *Gauge) See(load int32, now time.Duration) {
+	g.Load.Store(load)
+	g.At.Store(int64(now))
+}
+
+// Query is what a decision is about.
+type Query struct {
+	Policy model.Policy
+	// Home is the caller's region.
+	Home model.RegionID
+	Now  time.Duration
+	// Turn counts decisions, for round robin.
+	Turn uint64
+}
+
+// Tried marks sites that were tried before, by index.
+type Tried [4]uint64
+
+// Add marks a site.
+func (t *Tried) Add(i int) {
+	if i < len(t)*64 {
+		t[i/64] |= 1 << (i % 64)
+	}
+}
+
+// Has tells whether a site is marked.
+func (t *Tried) Has(i int) bool {
+	return i < len(t)*64 && t[i/64]&(1<<(i%64)) != 0
+}
+
+// inUse is the load of a site: the reported one or this VM's own, whichever is
+// more, and rising to full as the report gets old.
+func (s *Site) inUse(now time.Duration) float64 {
+	load, at := s.Load, s.HeardAt
+	if seen := time.Duration(s.Gauge.At.Load()); seen > at {
+		load, at = s.Gauge.Load.Load(), seen
+	}
+	l := float64(max(load, s.Gauge.Sent.Load()))
+	age := now - at
+	if s.Local || age <= staleAfter {
+		return l
+	}
+	f := min(1, float64(age-staleAfter)/float64(staleFull-staleAfter))
+	return l + f*max(0, float64(s.Slots)-l)
+}
+
+// wait is the expected time at the site: the service time, and the wait where all slots are in use.
+func (s *Site) wait(now time.Duration) float64 {
+	if s.Slots <= 0 {
+		return math.Inf(1)
+	}
+	over := s.inUse(now) + 1 - float64(s.Slots)
+	return float64(s.Latency) * (1 + max(0, over)/float64(s.Slots))
+}
+
+// full tells whether no slot is expected to be free.
+func (s *Site) full(now time.Duration) bool {
+	return s.inUse(now) >= float64(s.Slots)
+}
+
+// Choose returns the index of the site to try next, or -1.
+func Choose(q Query, sites []Site, tried *Tried) int {
+	switch q.Policy.Algorithm {
+	case model.RoundRobin:
+		return roundRobin(q, sites, tried)
+	case model.LeastLoaded:
+		return leastOfTwo(q, sites, tried)
+	case model.Headroom:
+		return cheapest(q, sites, tried, headroomCost)
+	}
+	return cheapest(q, sites, tried, nearestCost)
+}
+
+func roundRobin(q Query, sites []Site, tried *Tried) int {
+	n := len(sites)
+	for k := range n {
+		i := int((q.Turn + uint64(k)) % uint64(n))
+		if !tried.Has(i) && sites[i].Slots > 0 {
+			return i
+		}
+	}
+	return -1
+}
+
+// leastOfTwo compares two random sites of the home region, and of all regions
+// once those are full.
+func leastOfTwo(q Query, sites []Site, tried *Tried) int {
+	i := twoOf(q, sites, tried, true)
+	if i >= 0 && !sites[i].full(q.Now) {
+		return i
+	}
+	j := cheapest(q, sites, tried, loadCost)
+	if i < 0 || j >= 0 && !sites[j].full(q.Now) {
+		return j
+	}
+	return i
+}
+
+func twoOf(q Query, sites []Site, tried *Tried, homeOnly bool) int {
+	a := randomSite(q, sites, tried, homeOnly)
+	b := randomSite(q, sites, tried, homeOnly)
+	if a < 0 {
+		return b
+	}
+	if b < 0 || loadCost(q, &sites[a]) <= loadCost(q, &sites[b]) {
+		return a
+	}
+	return b
+}
+
+// randomSite returns a random usable site, weighted by slots.
+func randomSite(q Query, sites []Site, tried *Tried, homeOnly bool) int {
+	best, key := -1, 0.0
+	start := rand.IntN(max(1, len(sites)))
+	seen := 0
+	for k := range sites {
+		i := start + k
+		if i >= len(sites) {
+			i -= len(sites)
+		}
+		s := &sites[i]
+		if s.Slots <= 0 || tried.Has(i) || homeOnly && s.Region != q.Home {
+			continue
+		}
+		if r := rand.Float64() * float64(s.Slots); best < 0 || r > key {
+			best, key = i, r
+		}
+		if seen++; seen >= maxCandidates {
+			break
+		}
+	}
+	return best
+}
+
+// cheapest returns the site of least cost among the first candidates; sites are
+// ordered by delay, so these are the nearest with room.
+func cheapest(q Query, sites []Site, tried *Tried, cost func(Query, *Site) float64) int {
+	best, least, seen := -1, math.Inf(1), 0
+	for i := range sites {
+		s := &sites[i]
+		if s.Slots <= 0 || tried.Has(i) {
+			continue
+		}
+		if c := cost(q, s); c < least {
+			best, least = i, c
+		}
+		if !s.full(q.Now) {
+			seen++
+		}
+		if seen >= maxCandidates {
+			break
+		}
+	}
+	return best
+}
+
+func loadCost(q Query, s *Site) float64 {
+	u := s.inUse(q.Now) / float64(s.Slots)
+	return s.wait(q.Now)*(1+u) + float64(s.Delay)
+}
+
+func nearestCost(q Query, s *Site) float64 {
+	c := float64(s.Delay)
+	if s.full(q.Now) {
+		c += s.wait(q.Now)
+	}
+	if s.Region != q.Home {
+		c += float64(time.Millisecond)
+	}
+	return c
+}
+
+// headroomCost prices the link by how full it is and the site by its spare slots.
+func headroomCost(q Query, s *Site) float64 {
+	c := loadCost(q, s)
+	if s.Link == nil {
+		return c
+	}
+	price := float64(defaultLinkPrice)
+	if q.Policy.LinkPrice > 0 {
+		price = float64(q.Policy.LinkPrice.Duration())
+	}
+	u := s.Link()
+	return c + price*(0.1+u*u)
+}
--- /dev/null
+++ b/internal/steer/table.go
@@ -0,0 +1,147 @@
+package steer
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// Report is a VM's entry in the directory and when it was heard.
+type Report struct {
+	VM      *eelpb.VM
+	HeardAt time.Duration
+}
+
+// Table lists the sites by service, nearest first. It is not changed after it was built.
+type Table struct {
+	sites map[model.ServiceID][]Site
+}
+
+// Self is the VM that a table is for.
+type Self struct {
+	VM     model.VMID
+	Domain model.FailureDomainID
+	// Gauge returns what this VM sees of an owner.
+	Gauge func(model.VMID, model.ServiceID) *Gauge
+	// Link returns the used part of the link to a region.
+	Link func(model.RegionID) func() float64
+}
+
+// NewTable builds the table of a VM.
+func NewTable(c *model.Catalogue, self Self, reports []Report) *Table {
+	t := &Table{sites: map[model.ServiceID][]Site{}}
+	here := c.RegionOf(self.Domain)
+	for _, r := range reports {
+		for _, l := range r.VM.Sites {
+			t.add(c, self, here, r, l)
+		}
+	}
+	for _, s := range t.sites {
+		slices.SortFunc(s, func(a, b Site) int {
+			if d := cmp.Compare(a.Delay, b.Delay); d != 0 {
+				return d
+			}
+			return cmp.Compare(siteHash(self.VM, a), siteHash(self.VM, b))
+		})
+	}
+	return t
+}
+
+// siteHash spreads the VMs of a region over sites that are equally near.
+func siteHash(v model.VMID, s Site) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(v))
+	h.Write([]byte(s.VM))
+	h.Write([]byte(s.Domain))
+	return h.Sum64()
+}
+
+func (t *Table) add(c *model.Catalogue, self Self, here model.RegionID, r Report, l *eelpb.SiteLoad) {
+	d := model.FailureDomainID(l.FailureDomain)
+	if c.Drained(d, "") || l.Slots == 0 {
+		return
+	}
+	id, svc := model.VMID(r.VM.Id), model.ServiceID(l.Service)
+	s := Site{
+		VM: id, Addr: r.VM.Addr, Domain: d, Region: c.RegionOf(d), Slots: int32(l.Slots),
+		Load: int32(l.InFlight + l.Queued), Latency: time.Duration(l.LatencyUs) * time.Microsecond,
+		Local: id == self.VM, HeardAt: r.HeardAt, Gauge: self.Gauge(id, svc),
+	}
+	owner := c.RegionOf(model.FailureDomainID(r.VM.FailureDomain))
+	s.Delay = delay(c, here, owner, !s.Local) + delay(c, owner, s.Region, r.VM.FailureDomain != l.FailureDomain)
+	if s.Region != here {
+		s.Link = self.Link(s.Region)
+	}
+	t.sites[svc] = append(t.sites[svc], s)
+}
+
+// sameRegionDelay is the way between two failure domains of a region and back.
+const sameRegionDelay = 2 * time.Millisecond
+
+// delay returns the time from one region to another and back.
+func delay(c *model.Catalogue, from, to model.RegionID, hop bool) time.Duration {
+	if from != to {
+		l, _ := c.Link(from, to)
+		return 2 * l.DelayMillis.Duration()
+	}
+	if hop {
+		return sameRegionDelay
+	}
+	return 0
+}
+
+// Sites returns the sites of a service, nearest first.
+func (t *Table) Sites(s model.ServiceID) []Site {
+	return t.sites[s]
+}
+
+// PickPolicy returns the policy of a request: the policies of a class, or else
+// those of its service, share the requests by weight and a stable hash of the id.
+func PickPolicy(c *model.Catalogue, s model.ServiceID, n model.ClassID, id model.RequestID) model.Policy {
+	p, ok := pickAmong(c.Policies, s, n, id)
+	if ok {
+		return p
+	}
+	p, ok = pickAmong(c.Policies, s, "", id)
+	if ok {
+		return p
+	}
+	return model.Policy{Name: "default", Service: s, Algorithm: model.Nearest}
+}
+
+func pickAmong(policies []model.Policy, s model.ServiceID, n model.ClassID, id model.RequestID) (model.Policy, bool) {
+	total := 0
+	for _, p := range policies {
+		if p.Service == s && p.Class == n {
+			total += p.Weight
+		}
+	}
+	if total == 0 {
+		return model.Policy{}, false
+	}
+	at := int(hashID(id) % uint64(total))
+	for _, p := range policies {
+		if p.Service != s || p.Class != n {
+			continue
+		}
+		if at -= p.Weight; at < 0 {
+			return p, true
+		}
+	}
+	return model.Policy{}, false
+}
+
+// hashID is FNV-1a with a final mix, without allocation.
+func hashID(id model.RequestID) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h ^= h >> 32
+	h *= 0x9e3779b97f4a7c15
+	return h ^ h>>29
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,446 @@
+// Package store keeps a replica's term, vote, log and snapshots in files that
+// survive a loss of power.
+//
+// A folder holds:
+//
+//	lock               held while a process uses the folder
+//	identity           the replica's id and the incarnation of this disk
+//	snapshot-INDEX     the state as of an index
+//	log-INDEX          records after that snapshot
+//
+// A record is a header (magic, length, CRC-32C of the payload, CRC-32C of the
+// header) and a payload. One Save is one record and one sync, so a loss of
+// power can only tear the last record: that one is cut. A bad record with a
+// good one behind it is corruption, and Open refuses the folder.
+//
+// # Usage
+//
+//	s, d, err := store.Open(store.OS(), dir, id)
+//	err = s.Save(hard, entries)
+//	err = s.SaveSnapshot(snapshot, hard, rest)
+//	err = s.Close()
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"google.golang.org/protobuf/proto"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindLocked  Kind = "locked"
+	KindCorrupt Kind = "corrupt"
+	KindDisk    Kind = "disk"
+	KindWrongID Kind = "wrongReplica"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	headerBytes    = 16
+	magic          = 0x4c454547
+	maxRecordBytes = 256 << 20
+	snapshotPrefix = "snapshot-"
+	logPrefix      = "log-"
+	identityName   = "identity"
+	lockName       = "lock"
+	tmpSuffix      = ".tmp"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Identity names a replica's disk.
+type Identity struct {
+	ID          uint64
+	Incarnation uint64
+}
+
+// Disk is what a folder held when it was opened.
+type Disk struct {
+	Identity Identity
+	Hard     *eelpb.HardState
+	Snapshot *eelpb.Snapshot
+	Entries  []*eelpb.LogEntry
+	// CutBytes is the length of the torn tail that was cut.
+	CutBytes int
+}
+
+// Store writes the files of one folder. It is not safe for concurrent use.
+type Store struct {
+	fs     FS
+	dir    string
+	lock   Unlocker
+	log    File
+	size   int64
+	broken error
+}
+
+// Open locks the folder and reads what it holds. A new folder gets the id and
+// the incarnation that newIncarnation returns.
+func Open(f FS, dir string, id uint64, newIncarnation func() uint64) (*Store, *Disk, error) {
+	const op = "store.Open"
+	if err := f.MkdirAll(dir); err != nil {
+		return nil, nil, fault.New(op, KindDisk, err)
+	}
+	l, err := f.Lock(filepath.Join(dir, lockName))
+	if err != nil {
+		return nil, nil, fault.Newf(op, KindLocked, "folder %q is in use by another process: %v", dir, err)
+	}
+	s := &Store{fs: f, dir: dir, lock: l}
+	d, err := s.load(id, newIncarnation)
+	if err != nil {
+		return nil, nil, errors.Join(err, l.Unlock())
+	}
+	return s, d, nil
+}
+
+func (s *Store) load(id uint64, newIncarnation func() uint64) (*Disk, error) {
+	d := &Disk{}
+	if err := s.loadIdentity(d, id, newIncarnation); err != nil {
+		return nil, err
+	}
+	base, err := s.loadSnapshot(d)
+	if err != nil {
+		return nil, err
+	}
+	name := s.path(logPrefix, base)
+	if err := s.loadLog(name, d); err != nil {
+		return nil, err
+	}
+	if err := s.removeOthers(base); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (s *Store) loadIdentity(d *Disk, id uint64, newIncarnation func() uint64) error {
+	const op = "store.Open"
+	name := filepath.Join(s.dir, identityName)
+	b, err := s.fs.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		d.Identity = Identity{ID: id, Incarnation: newIncarnation()}
+		return s.writeFile(name, fmt.Appendf(nil, "%d %d\n", d.Identity.ID, d.Identity.Incarnation))
+	}
+	if err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	if _, err := fmt.Sscanf(string(b), "%d %d\n", &d.Identity.ID, &d.Identity.Incarnation); err != nil {
+		return fault.Newf(op, KindCorrupt, "file %q at offset 0 is no identity: %v; replace the replica", name, err)
+	}
+	if d.Identity.ID != id {
+		return fault.Newf(op, KindWrongID, "folder %q belongs to replica %d, not %d", s.dir, d.Identity.ID, id)
+	}
+	return nil
+}
+
+// loadSnapshot reads the newest snapshot and returns its index.
+func (s *Store) loadSnapshot(d *Disk) (uint64, error) {
+	const op = "store.Open"
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return 0, fault.New(op, KindDisk, err)
+	}
+	newest, found := uint64(0), false
+	for _, n := range names {
+		if i, ok := indexOf(n, snapshotPrefix); ok && (!found || i > newest) {
+			newest, found = i, true
+		}
+	}
+	if !found {
+		return 0, nil
+	}
+	name := s.path(snapshotPrefix, newest)
+	b, err := s.fs.ReadFile(name)
+	if err != nil {
+		return 0, fault.New(op, KindDisk, err)
+	}
+	p, n, err := decodeRecord(b)
+	if err != nil || n != len(b) {
+		return 0, fault.Newf(op, KindCorrupt, "file %q at offset 0: %v; wipe the folder and replace the replica", name, err)
+	}
+	d.Snapshot = &eelpb.Snapshot{}
+	if err := proto.Unmarshal(p, d.Snapshot); err != nil {
+		return 0, fault.Newf(op, KindCorrupt, "file %q does not decode: %v; wipe the folder and replace the replica", name, err)
+	}
+	return newest, nil
+}
+
+func (s *Store) loadLog(name string, d *Disk) error {
+	const op = "store.Open"
+	b, err := s.fs.ReadFile(name)
+	if errors.Is(err, fs.ErrNotExist) {
+		if d.Snapshot != nil {
+			return fault.Newf(op, KindCorrupt, "file %q is missing beside its snapshot; wipe the folder and replace the replica", name)
+		}
+		return s.startLog(name)
+	}
+	if err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	good, err := replay(b, d)
+	if err != nil {
+		return fault.Newf(op, KindCorrupt, "file %q at offset %d: %v; wipe the folder and replace the replica", name, good, err)
+	}
+	d.CutBytes = len(b) - good
+	return s.openLog(name, int64(good), d.CutBytes > 0)
+}
+
+func (s *Store) startLog(name string) error {
+	if err := s.writeFile(name, nil); err != nil {
+		return err
+	}
+	return s.openLog(name, 0, false)
+}
+
+func (s *Store) openLog(name string, size int64, cut bool) error {
+	f, err := s.fs.Append(name)
+	if err != nil {
+		return fault.New("store.Open", KindDisk, err)
+	}
+	s.log, s.size = f, size
+	if !cut {
+		return nil
+	}
+	if err := errors.Join(f.Truncate(size), f.Sync()); err != nil {
+		return fault.New("store.Open", KindDisk, err)
+	}
+	return nil
+}
+
+// replay reads the records of a log and returns how many bytes are good.
+func replay(b []byte, d *Disk) (int, error) {
+	o := 0
+	for o < len(b) {
+		p, n, err := decodeRecord(b[o:])
+		if err != nil {
+			if at := nextRecord(b[o+1:]); at >= 0 {
+				return o, fmt.Errorf("%w, and a good record follows at offset %d", err, o+1+at)
+			}
+			return o, nil
+		}
+		r := &eelpb.LogRecord{}
+		if err := proto.Unmarshal(p, r); err != nil {
+			return o, fmt.Errorf("record does not decode: %w", err)
+		}
+		if err := d.take(r); err != nil {
+			return o, err
+		}
+		o += n
+	}
+	return o, nil
+}
+
+// take applies one record of the log.
+func (d *Disk) take(r *eelpb.LogRecord) error {
+	if r.Hard != nil {
+		d.Hard = r.Hard
+	}
+	base := d.Snapshot.GetIndex()
+	for _, e := range r.Entries {
+		if e.Index <= base {
+			continue
+		}
+		at := e.Index - base - 1
+		if at > uint64(len(d.Entries)) {
+			return fmt.Errorf("log jumps from index %d to %d", base+uint64(len(d.Entries)), e.Index)
+		}
+		d.Entries = append(d.Entries[:at], e)
+	}
+	return nil
+}
+
+// Save makes a term, vote and entries durable. After an error the store
+// refuses to write, since the state of the file is not known.
+func (s *Store) Save(h *eelpb.HardState, entries []*eelpb.LogEntry) error {
+	const op = "store.Save"
+	if s.broken != nil {
+		return s.broken
+	}
+	b, err := encodeSave(h, entries)
+	if err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	if _, err := s.log.Write(b); err != nil {
+		s.broken = fault.New(op, KindDisk, err)
+		return s.broken
+	}
+	if err := s.log.Sync(); err != nil {
+		s.broken = fault.New(op, KindDisk, err)
+		return s.broken
+	}
+	s.size += int64(len(b))
+	return nil
+}
+
+// Size returns the bytes of the present log file.
+func (s *Store) Size() int64 { return s.size }
+
+// SaveSnapshot makes a snapshot durable and starts a new log file that holds
+// the term, the vote and the entries after the snapshot.
+func (s *Store) SaveSnapshot(n *eelpb.Snapshot, h *eelpb.HardState, rest []*eelpb.LogEntry) error {
+	const op = "store.SaveSnapshot"
+	if s.broken != nil {
+		return s.broken
+	}
+	p, err := proto.Marshal(n)
+	if err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	b, err := encodeSave(h, rest)
+	if err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	// The log goes first: a snapshot without its log would be refused.
+	logName := s.path(logPrefix, n.Index)
+	if err := s.writeFile(logName, b); err != nil {
+		return err
+	}
+	if err := s.writeFile(s.path(snapshotPrefix, n.Index), encodeRecord(p)); err != nil {
+		return err
+	}
+	old := s.log
+	if err := s.openLog(logName, int64(len(b)), false); err != nil {
+		return err
+	}
+	if err := old.Close(); err != nil {
+		return fault.New(op, KindDisk, err)
+	}
+	return s.removeOthers(n.Index)
+}
+
+// removeOthers removes the snapshots and logs that the one with the index replaced.
+func (s *Store) removeOthers(index uint64) error {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return fault.New("store.removeOthers", KindDisk, err)
+	}
+	for _, n := range names {
+		if !replaced(n, index) {
+			continue
+		}
+		if err := s.fs.Remove(filepath.Join(s.dir, n)); err != nil {
+			return fault.New("store.removeOthers", KindDisk, err)
+		}
+	}
+	return nil
+}
+
+func replaced(name string, index uint64) bool {
+	if strings.HasSuffix(name, tmpSuffix) {
+		return true
+	}
+	for _, p := range []string{snapshotPrefix, logPrefix} {
+		if i, ok := indexOf(name, p); ok && i != index {
+			return true
+		}
+	}
+	return false
+}
+
+// Close closes the files and frees the folder.
+func (s *Store) Close() error {
+	return errors.Join(s.log.Close(), s.lock.Unlock())
+}
+
+func (s *Store) path(prefix string, index uint64) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%s%020d", prefix, index))
+}
+
+func indexOf(name, prefix string) (uint64, bool) {
+	t, ok := strings.CutPrefix(name, prefix)
+	if !ok {
+		return 0, false
+	}
+	i, err := strconv.ParseUint(t, 10, 64)
+	return i, err == nil
+}
+
+// writeFile replaces a file so that it is whole or not there after a loss of power.
+func (s *Store) writeFile(name string, b []byte) error {
+	if err := writeSynced(s.fs, name, b); err != nil {
+		return fault.New("store.writeFile", KindDisk, err)
+	}
+	return nil
+}
+
+func writeSynced(f FS, name string, b []byte) error {
+	tmp := name + tmpSuffix
+	w, err := f.Create(tmp)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(b); err != nil {
+		return errors.Join(err, w.Close())
+	}
+	if err := errors.Join(w.Sync(), w.Close()); err != nil {
+		return err
+	}
+	if err := f.Rename(tmp, name); err != nil {
+		return err
+	}
+	return f.SyncDir(filepath.Dir(name))
+}
+
+// encodeSave encodes a term, a vote and entries as one record.
+func encodeSave(h *eelpb.HardState, entries []*eelpb.LogEntry) ([]byte, error) {
+	p, err := proto.Marshal(&eelpb.LogRecord{Hard: h, Entries: entries})
+	if err != nil {
+		return nil, err
+	}
+	return encodeRecord(p), nil
+}
+
+func encodeRecord(p []byte) []byte {
+	b := make([]byte, headerBytes, headerBytes+len(p))
+	binary.LittleEndian.PutUint32(b, magic)
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(p)))
+	binary.LittleEndian.PutUint32(b[8:], crc32.Checksum(p, castagnoli))
+	binary.LittleEndian.PutUint32(b[12:], crc32.Checksum(b[:12], castagnoli))
+	return append(b, p...)
+}
+
+// decodeRecord returns the payload of the record at the start and its whole length.
+func decodeRecord(b []byte) ([]byte, int, error) {
+	if len(b) < headerBytes {
+		return nil, 0, fmt.Errorf("record header is cut after %d bytes", len(b))
+	}
+	if binary.LittleEndian.Uint32(b) != magic || binary.LittleEndian.Uint32(b[12:]) != crc32.Checksum(b[:12], castagnoli) {
+		return nil, 0, errors.New("record header does not match its checksum")
+	}
+	n := int(binary.LittleEndian.Uint32(b[4:]))
+	if n > maxRecordBytes || headerBytes+n > len(b) {
+		return nil, 0, fmt.Errorf("record of %d bytes is cut after %d", n, len(b)-headerBytes)
+	}
+	p := b[headerBytes : headerBytes+n]
+	if crc32.Checksum(p, castagnoli) != binary.LittleEndian.Uint32(b[8:]) {
+		return nil, 0, errors.New("record does not match its checksum")
+	}
+	return p, headerBytes + n, nil
+}
+
+// nextRecord returns the offset of the first good record, or -1.
+func nextRecord(b []byte) int {
+	for o := 0; o+headerBytes <= len(b); o++ {
+		if binary.LittleEndian.Uint32(b[o:]) != magic {
+			continue
+		}
+		if _, _, err := decodeRecord(b[o:]); err == nil {
+			return o
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/pkg/admin/admin.go
@@ -0,0 +1,178 @@
+// Package admin is the client of operators: it reads and changes the catalogue
+// and reads status and reports, by any entry or state replica.
+//
+// # Usage
+//
+//	c := admin.New(admin.Options{Addrs: []string{"10.0.0.11:7000"}, Token: token})
+//	cat, err := c.Catalogue(ctx)
+//	r, err := c.Change(ctx, wire.Change{ChangeID: id, BaseVersion: cat.Version, Put: objects})
+//
+// A change whose answer is lost may be sent again with the same change id; it
+// then gets its first result.
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/burn"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	// KindRefused means that the call was refused and changed nothing.
+	KindRefused Kind = "refused"
+	// KindConflict means that another change was accepted first.
+	KindConflict Kind = "conflict"
+	// KindUnknown means that the outcome is not known; send the change again.
+	KindUnknown Kind = "outcomeUnknown"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const callTimeout = 10 * time.Second
+
+// Options are the settings of a client.
+type Options struct {
+	// Addrs are entries or replicas; the next is asked where one does not answer.
+	Addrs []string
+	Token string
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	o Options
+	c *http.Client
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	return &Client{o: o, c: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}}
+}
+
+// Catalogue returns the catalogue.
+func (c *Client) Catalogue(ctx context.Context) (wire.Catalogue, error) {
+	var a wire.Catalogue
+	_, err := c.call(ctx, http.MethodGet, wire.PathCatalogue, nil, &a)
+	return a, err
+}
+
+// Change commits a change. With an error of kind KindConflict the result tells who won.
+func (c *Client) Change(ctx context.Context, q wire.Change) (wire.ChangeResult, error) {
+	var a wire.ChangeResult
+	status, err := c.call(ctx, http.MethodPost, wire.PathChanges, q, &a)
+	if status == http.StatusConflict && !a.Accepted && a.ChangeID != "" {
+		return a, fault.Newf("admin.Change", KindConflict,
+			"the catalogue is at version %d by change %q of %q", a.Version, a.WinnerChangeID, a.WinnerAuthor)
+	}
+	return a, err
+}
+
+// Status returns the leader's status.
+func (c *Client) Status(ctx context.Context) (wire.Status, error) {
+	var a wire.Status
+	_, err := c.call(ctx, http.MethodGet, wire.PathStatus, nil, &a)
+	return a, err
+}
+
+// Replica adds, removes or replaces a state replica.
+func (c *Client) Replica(ctx context.Context, q wire.ReplicaChange) error {
+	var a json.RawMessage
+	_, err := c.call(ctx, http.MethodPost, wire.PathReplicas, q, &a)
+	return err
+}
+
+// Burn returns what the entry at an address counted.
+func (c *Client) Burn(ctx context.Context, addr string) ([]burn.Series, error) {
+	var a []burn.Series
+	_, _, err := c.once(ctx, http.MethodGet, addr, wire.PathBurn, nil, &a)
+	return a, err
+}
+
+// VM returns the status of the entry at an address as JSON.
+func (c *Client) VM(ctx context.Context, addr string) (json.RawMessage, error) {
+	var a json.RawMessage
+	_, _, err := c.once(ctx, http.MethodGet, addr, wire.PathVM, nil, &a)
+	return a, err
+}
+
+// call asks one address after the other, and the leader that a replica names.
+func (c *Client) call(ctx context.Context, method, path string, q, a any) (int, error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return 0, fault.New("admin.call", KindRefused, err)
+	}
+	addrs := append([]string(nil), c.o.Addrs...)
+	last := fault.Newf("admin.call", KindRefused, "no address is given")
+	for i := 0; i < len(addrs) && i < maxAddrs; i++ {
+		status, leader, err := c.once(ctx, method, addrs[i], path, body, a)
+		if err == nil || fault.Is(err, KindRefused) || status == http.StatusConflict {
+			return status, err
+		}
+		if leader != "" {
+			addrs = append(addrs, leader)
+		}
+		last = err
+	}
+	return 0, last
+}
+
+const (
+	maxAddrs     = 16
+	maxBodyBytes = 64 << 20
+)
+
+func (c *Client) once(ctx context.Context, method, addr, path string, body []byte, a any) (int, string, error) {
+	const op = "admin.call"
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, "", fault.New(op, KindRefused, err)
+	}
+	if c.o.Token != "" {
+		q.Header.Set("Authorization", "Bearer "+c.o.Token)
+	}
+	q.Header.Set("Content-Type", "application/json")
+	res, err := c.c.Do(q)
+	if err != nil {
+		return 0, "", fault.New(op, KindUnknown, err)
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes))
+	if err != nil {
+		return res.StatusCode, "", fault.New(op, KindUnknown, err)
+	}
+	return res.StatusCode, res.Header.Get(wire.HeaderLeader), c.read(res.StatusCode, addr, b, a)
+}
+
+func (c *Client) read(status int, addr string, b []byte, a any) error {
+	const op = "admin.call"
+	if status == http.StatusOK || status == http.StatusConflict {
+		if err := json.Unmarshal(b, a); err != nil {
+			return fault.New(op, KindUnknown, err)
+		}
+		if status == http.StatusOK {
+			return nil
+		}
+	}
+	var f wire.Failure
+	if json.Unmarshal(b, &f) != nil || f.Error == "" {
+		f.Error = fmt.Sprintf("%s answered with status %d", addr, status)
+	}
+	k := KindRefused
+	if status == http.StatusMisdirectedRequest || status >= http.StatusInternalServerError {
+		k = KindUnknown
+	}
+	return fault.New(op, k, errors.New(f.Error))
+}
