--- /dev/null
+++ b/pkg/caller/caller.go
@@ -0,0 +1,302 @@
+// Package caller is the client of callers: it asks the system which entry VMs
+// to use, caches the list, and sends requests with an id and a deadline.
+//
+// # Usage
+//
+//	c := caller.New(caller.Options{Entries: []string{"10.0.0.11:7000"}, Region: "attiki"})
+//	a, err := c.Do(ctx, caller.Request{Service: "registry", Class: "lookup", Path: "/cards/17"})
+//
+// A request that gets no answer is sent again by another entry with the same
+// id; the system sees to it that it runs at most once where its class says so.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindNoEntry Kind = "noEntry"
+	KindBad     Kind = "badRequest"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+const (
+	listTimeout     = 2 * time.Second
+	dialTimeout     = 500 * time.Millisecond
+	defaultDeadline = 5 * time.Second
+	// maxSends bounds how often one request is sent.
+	maxSends    = 3
+	idlePerHost = 256
+)
+
+// Options are the settings of a client.
+type Options struct {
+	// Entries are addresses to ask for the list when none is cached.
+	Entries []string
+	Region  model.RegionID
+	// DialContext overrides how connections are made.
+	DialContext func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Request is what a caller asks for.
+type Request struct {
+	Service     model.ServiceID
+	Class       model.ClassID
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+	// ID is the same when the caller asks again; empty makes a new one.
+	ID model.RequestID
+	// Attempt rises after an outcome of notRun; 0 means 1.
+	Attempt  uint64
+	Deadline time.Duration
+}
+
+// Answer is the outcome of a request.
+type Answer struct {
+	Outcome    wire.Outcome
+	Status     int
+	Body       []byte
+	Policy     model.PolicyID
+	Target     model.TargetID
+	Reason     string
+	RetryAfter time.Duration
+	Entry      string
+	Took       time.Duration
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	o Options
+	c *http.Client
+
+	mu    sync.Mutex
+	list  []wire.Entry
+	until time.Time
+	bad   map[string]time.Time
+}
+
+// New returns a client.
+func New(o Options) *Client {
+	if o.DialContext == nil {
+		o.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	t := &http.Transport{DialContext: o.DialContext, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
+	return &Client{o: o, c: &http.Client{Transport: t}, bad: map[string]time.Time{}}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.c.CloseIdleConnections()
+}
+
+// Entries returns the cached list of entries, and asks for it where it has expired.
+func (c *Client) Entries(ctx context.Context) ([]wire.Entry, error) {
+	c.mu.Lock()
+	list, fresh := c.list, time.Now().Before(c.until)
+	c.mu.Unlock()
+	if fresh {
+		return list, nil
+	}
+	err := c.refresh(ctx, list)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.list, nil
+}
+
+func (c *Client) refresh(ctx context.Context, list []wire.Entry) error {
+	addrs := make([]string, 0, len(list)+len(c.o.Entries))
+	for _, e := range list {
+		addrs = append(addrs, e.Addr)
+	}
+	addrs = append(addrs, c.o.Entries...)
+	var last error
+	for _, a := range addrs {
+		if last = c.ask(ctx, a); last == nil {
+			return nil
+		}
+	}
+	return fault.New("caller.Entries", KindNoEntry, last)
+}
+
+func (c *Client) ask(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	u := "http://" + addr + wire.PathEntries + "?region=" + string(c.o.Region)
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return err
+	}
+	asked := time.Now()
+	res, err := c.c.Do(q)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	var l wire.Entries
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("entry %s answered with status %d", addr, res.StatusCode)
+	}
+	if err := json.NewDecoder(res.Body).Decode(&l); err != nil {
+		return err
+	}
+	if len(l.Entries) == 0 {
+		return fmt.Errorf("entry %s named no entries", addr)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list, c.until = l.Entries, asked.Add(l.TTLMillis.Duration())
+	return nil
+}
+
+// pick returns the best entry that was not tried and did not fail just now.
+func (c *Client) pick(list []wire.Entry, tried map[string]bool) (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	second := ""
+	for _, e := range list {
+		if tried[e.Addr] {
+			continue
+		}
+		if time.Now().After(c.bad[e.Addr]) {
+			return e.Addr, true
+		}
+		if second == "" {
+			second = e.Addr
+		}
+	}
+	return second, second != ""
+}
+
+// badFor is how long an entry that did not answer is passed over.
+const badFor = 2 * time.Second
+
+func (c *Client) failed(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bad[addr] = time.Now().Add(badFor)
+}
+
+// Do sends a request and returns its outcome. Without an answer from any entry the outcome is unknown.
+func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
+	from := time.Now()
+	r = r.withDefaults()
+	ctx, cancel := context.WithTimeout(ctx, r.Deadline)
+	defer cancel()
+	list, err := c.Entries(ctx)
+	if err != nil {
+		return Answer{Outcome: wire.NotRun, Reason: err.Error(), Took: time.Since(from)}, nil
+	}
+	tried := map[string]bool{}
+	last := Answer{Outcome: wire.Unknown, Reason: "no entry answered"}
+	for range maxSends {
+		addr, ok := c.pick(list, tried)
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		tried[addr] = true
+		a, err := c.send(ctx, addr, r, from)
+		if err != nil {
+			last.Reason = err.Error()
+			c.failed(addr)
+			continue
+		}
+		last = a
+		break
+	}
+	last.Took = time.Since(from)
+	return last, nil
+}
+
+func (r Request) withDefaults() Request {
+	if r.Method == "" {
+		r.Method = http.MethodGet
+		if len(r.Body) > 0 {
+			r.Method = http.MethodPost
+		}
+	}
+	if r.ID == "" {
+		r.ID = model.RequestID(fmt.Sprintf("r%016x", rand.Uint64()))
+	}
+	if r.Attempt == 0 {
+		r.Attempt = 1
+	}
+	if r.Deadline == 0 {
+		r.Deadline = defaultDeadline
+	}
+	return r
+}
+
+func (c *Client) send(ctx context.Context, addr string, r Request, from time.Time) (Answer, error) {
+	u := fmt.Sprintf("http://%s%s/%s/%s%s", addr, wire.PathServices, r.Service, r.Class, r.Path)
+	q, err := http.NewRequestWithContext(ctx, r.Method, u, bytes.NewReader(r.Body))
+	if err != nil {
+		return Answer{}, fault.New("caller.Do", KindBad, err)
+	}
+	if r.ContentType != "" {
+		q.Header.Set("Content-Type", r.ContentType)
+	}
+	left := r.Deadline - time.Since(from)
+	q.Header.Set(wire.HeaderRequestID, string(r.ID))
+	q.Header.Set(wire.HeaderAttempt, strconv.FormatUint(r.Attempt, 10))
+	q.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if c.o.Region != "" {
+		q.Header.Set(wire.HeaderRegion, string(c.o.Region))
+	}
+	res, err := c.c.Do(q)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return Answer{}, err
+	}
+	return c.answer(addr, res, b), nil
+}
+
+func (c *Client) answer(addr string, res *http.Response, b []byte) Answer {
+	h := res.Header
+	a := Answer{
+		Outcome: wire.Outcome(h.Get(wire.HeaderOutcome)), Status: res.StatusCode, Body: b, Entry: addr,
+		Policy: model.PolicyID(h.Get(wire.HeaderPolicy)), Target: model.TargetID(h.Get(wire.HeaderTarget)),
+	}
+	if ms, err := strconv.ParseInt(h.Get(wire.HeaderRetryAfterMillis), 10, 64); err == nil {
+		a.RetryAfter = time.Duration(ms) * time.Millisecond
+	}
+	if a.Outcome == wire.Answered {
+		return a
+	}
+	var f wire.Failure
+	if json.Unmarshal(b, &f) == nil {
+		a.Reason = f.Error
+		if a.Outcome == "" {
+			a.Outcome = f.Outcome
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/model/build.go
@@ -0,0 +1,230 @@
+package model
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"sigs.k8s.io/yaml"
+)
+
+const (
+	tokenHashBytes = 32
+	maxNameBytes   = 63
+	maxMillis      = 24 * 60 * 60 * 1000
+)
+
+var nameRE = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
+
+// File is the format of catalogue files, in YAML or JSON.
+type File struct {
+	Objects []Object `json:"objects"`
+}
+
+// Parse reads a catalogue file. Unknown fields are errors.
+func Parse(b []byte) ([]Object, error) {
+	var f File
+	if err := yaml.UnmarshalStrict(b, &f); err != nil {
+		return nil, fault.New("model.Parse", KindSyntax, err)
+	}
+	return f.Objects, nil
+}
+
+// Catalogue is the world at one version. It is not changed after it was built.
+type Catalogue struct {
+	Version  Version
+	Objects  map[string]Object
+	Owners   map[OwnerID]Owner
+	Regions  map[RegionID]Region
+	Domains  map[FailureDomainID]FailureDomain
+	Links    map[[2]RegionID]Link
+	Services map[ServiceID]Service
+	Classes  map[ServiceID]map[ClassID]Class
+	Caps     []ShiftCap
+	Policies []Policy
+	Drains   []Drain
+}
+
+// NewCatalogue builds a catalogue and checks that its objects fit together.
+func NewCatalogue(v Version, objects []Object) (*Catalogue, error) {
+	c := &Catalogue{
+		Version: v, Objects: map[string]Object{}, Owners: map[OwnerID]Owner{},
+		Regions: map[RegionID]Region{}, Domains: map[FailureDomainID]FailureDomain{},
+		Links: map[[2]RegionID]Link{}, Services: map[ServiceID]Service{},
+		Classes: map[ServiceID]map[ClassID]Class{},
+	}
+	sorted := slices.Clone(objects)
+	slices.SortFunc(sorted, func(a, b Object) int { return strings.Compare(a.Key(), b.Key()) })
+	for _, o := range sorted {
+		if err := c.add(o); err != nil {
+			return nil, fault.Newf("model.NewCatalogue", KindInvalid, "%s: %v", o.Key(), err)
+		}
+	}
+	if err := c.check(); err != nil {
+		return nil, fault.New("model.NewCatalogue", KindInvalid, err)
+	}
+	return c, nil
+}
+
+func decode[T any](o Object, t *T) error {
+	d := json.NewDecoder(bytes.NewReader(o.Spec))
+	d.DisallowUnknownFields()
+	if err := d.Decode(t); err != nil {
+		return fmt.Errorf("spec: %w", err)
+	}
+	return nil
+}
+
+func (c *Catalogue) add(o Object) error {
+	if len(o.Name) > maxNameBytes || !nameRE.MatchString(o.Name) {
+		return fmt.Errorf("name %q is not letters, digits, '.', '_' and '-', at most %d", o.Name, maxNameBytes)
+	}
+	if o.Owner == "" {
+		return fmt.Errorf("owner is missing")
+	}
+	if _, ok := c.Objects[o.Key()]; ok {
+		return fmt.Errorf("object occurs twice")
+	}
+	c.Objects[o.Key()] = o
+	return c.addSpec(o)
+}
+
+func (c *Catalogue) addSpec(o Object) error {
+	switch o.Kind {
+	case ObjectOwner:
+		return c.addOwner(o)
+	case ObjectRegion:
+		x := Region{Name: RegionID(o.Name)}
+		err := decode(o, &x)
+		c.Regions[x.Name] = x
+		return err
+	case ObjectFailureDomain:
+		x := FailureDomain{Name: FailureDomainID(o.Name)}
+		err := decode(o, &x)
+		c.Domains[x.Name] = x
+		return err
+	case ObjectLink:
+		return c.addLink(o)
+	case ObjectService:
+		x := Service{Name: ServiceID(o.Name)}
+		err := decode(o, &x)
+		c.Services[x.Name] = x
+		return err
+	case ObjectClass:
+		return c.addClass(o)
+	case ObjectShiftCap:
+		x := ShiftCap{Name: o.Name}
+		err := decode(o, &x)
+		c.Caps = append(c.Caps, x)
+		return err
+	case ObjectPolicy:
+		x := Policy{Name: PolicyID(o.Name)}
+		err := decode(o, &x)
+		c.Policies = append(c.Policies, x)
+		return err
+	case ObjectDrain:
+		x := Drain{Name: o.Name}
+		err := decode(o, &x)
+		c.Drains = append(c.Drains, x)
+		return err
+	}
+	return fmt.Errorf("kind %q does not exist", o.Kind)
+}
+
+func (c *Catalogue) addOwner(o Object) error {
+	x := Owner{Name: OwnerID(o.Name)}
+	if err := decode(o, &x); err != nil {
+		return err
+	}
+	if b, err := hex.DecodeString(x.TokenSHA256); err != nil || len(b) != tokenHashBytes {
+		return fmt.Errorf("tokenSha256 is not %d bytes in hexadecimal", tokenHashBytes)
+	}
+	c.Owners[x.Name] = x
+	return nil
+}
+
+func (c *Catalogue) addLink(o Object) error {
+	x := Link{Name: o.Name}
+	if err := decode(o, &x); err != nil {
+		return err
+	}
+	k := linkKey(x.Regions[0], x.Regions[1])
+	if _, ok := c.Links[k]; ok {
+		return fmt.Errorf("regions %q and %q have a link already", k[0], k[1])
+	}
+	c.Links[k] = x
+	return nil
+}
+
+func (c *Catalogue) addClass(o Object) error {
+	var x Class
+	if err := decode(o, &x); err != nil {
+		return err
+	}
+	if c.Classes[x.Service] == nil {
+		c.Classes[x.Service] = map[ClassID]Class{}
+	}
+	if _, ok := c.Classes[x.Service][x.Name]; ok {
+		return fmt.Errorf("class %q of service %q occurs twice", x.Name, x.Service)
+	}
+	c.Classes[x.Service][x.Name] = x
+	return nil
+}
+
+func linkKey(a, b RegionID) [2]RegionID {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]RegionID{a, b}
+}
+
+// Class returns a class of a service.
+func (c *Catalogue) Class(s ServiceID, n ClassID) (Class, bool) {
+	x, ok := c.Classes[s][n]
+	return x, ok
+}
+
+// Link returns the link between two regions.
+func (c *Catalogue) Link(a, b RegionID) (Link, bool) {
+	l, ok := c.Links[linkKey(a, b)]
+	return l, ok
+}
+
+// RegionOf returns the region of a failure domain, or "".
+func (c *Catalogue) RegionOf(d FailureDomainID) RegionID {
+	return c.Domains[d].Region
+}
+
+// Drained tells whether a place or a target is drained.
+func (c *Catalogue) Drained(d FailureDomainID, t TargetID) bool {
+	r := c.RegionOf(d)
+	for _, x := range c.Drains {
+		if x.Region != "" && x.Region == r {
+			return true
+		}
+		if x.FailureDomain != "" && x.FailureDomain == d {
+			return true
+		}
+		if x.Target != "" && x.Target == t {
+			return true
+		}
+	}
+	return false
+}
+
+// CapsFor returns the shift caps that bound a move between two regions.
+func (c *Catalogue) CapsFor(s ServiceID, from, to RegionID) []ShiftCap {
+	var caps []ShiftCap
+	for _, x := range c.Caps {
+		if x.Service != s || x.From != "" && x.From != from || x.To != "" && x.To != to {
+			continue
+		}
+		caps = append(caps, x)
+	}
+	return caps
+}
--- /dev/null
+++ b/pkg/model/model.go
@@ -0,0 +1,210 @@
+// Package model describes the world that the system steers: regions, failure
+// domains, links, services, classes, limits, policies and drains. The
+// catalogue is the set of these objects with their owners.
+//
+// # Usage
+//
+//	objects, err := model.Parse(file)
+//	c, err := model.NewCatalogue(version, objects)
+//	l, ok := c.Class("registry", "lookup")
+//
+// Rates are per second, sizes are bytes, bandwidths are bytes per second and
+// durations are milliseconds, as the names of the fields say.
+package model
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+)
+
+// Kind tells the errors of the package apart.
+type Kind string
+
+// The kinds of errors.
+const (
+	KindSyntax  Kind = "syntax"
+	KindInvalid Kind = "invalid"
+)
+
+// Error is the error of this package.
+type Error = fault.Error[Kind]
+
+// RegionID names a region.
+type RegionID string
+
+// FailureDomainID names a failure domain.
+type FailureDomainID string
+
+// ServiceID names a service.
+type ServiceID string
+
+// ClassID names a class of requests within a service.
+type ClassID string
+
+// PolicyID names a steering policy.
+type PolicyID string
+
+// VMID names an entry VM.
+type VMID string
+
+// TargetID names a target.
+type TargetID string
+
+// RequestID names a caller's request.
+type RequestID string
+
+// OwnerID names who owns an object of the catalogue.
+type OwnerID string
+
+// Version counts the accepted changes of the catalogue.
+type Version uint64
+
+// BytesPerSecond is a bandwidth.
+type BytesPerSecond int64
+
+// Millis is a duration in milliseconds.
+type Millis int64
+
+// Duration returns the duration.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// ObjectKind tells the objects of the catalogue apart.
+type ObjectKind string
+
+// The kinds of objects.
+const (
+	ObjectOwner         ObjectKind = "owner"
+	ObjectRegion        ObjectKind = "region"
+	ObjectFailureDomain ObjectKind = "failureDomain"
+	ObjectLink          ObjectKind = "link"
+	ObjectService       ObjectKind = "service"
+	ObjectClass         ObjectKind = "class"
+	ObjectShiftCap      ObjectKind = "shiftCap"
+	ObjectPolicy        ObjectKind = "policy"
+	ObjectDrain         ObjectKind = "drain"
+)
+
+// Object is one entry of the catalogue.
+type Object struct {
+	Kind    ObjectKind      `json:"kind"`
+	Name    string          `json:"name"`
+	Owner   OwnerID         `json:"owner"`
+	Version Version         `json:"version,omitempty"`
+	Spec    json.RawMessage `json:"spec,omitempty"`
+}
+
+// Key returns the kind and the name, which name the object.
+func (o Object) Key() string {
+	return string(o.Kind) + "/" + o.Name
+}
+
+// Owner may change the objects that carry its name.
+type Owner struct {
+	Name OwnerID `json:"-"`
+	// TokenSHA256 is the SHA-256 of the owner's token in hexadecimal.
+	TokenSHA256 string `json:"tokenSha256"`
+}
+
+// Region is a set of failure domains that are near each other.
+type Region struct {
+	Name RegionID `json:"-"`
+	// MaxInFlight bounds the requests in progress in the region; 0 means its live slots.
+	MaxInFlight int `json:"maxInFlight,omitempty"`
+}
+
+// FailureDomain is a place that fails as a whole.
+type FailureDomain struct {
+	Name   FailureDomainID `json:"-"`
+	Region RegionID        `json:"region"`
+}
+
+// Link joins two regions; its capacity holds in each direction.
+type Link struct {
+	Name           string         `json:"-"`
+	Regions        [2]RegionID    `json:"regions"`
+	BytesPerSecond BytesPerSecond `json:"bytesPerSecond"`
+	DelayMillis    Millis         `json:"delayMillis"`
+}
+
+// Service is what targets offer.
+type Service struct {
+	Name ServiceID `json:"-"`
+	// WarmUpMillis is how long a target that became ready is ramped up.
+	WarmUpMillis Millis `json:"warmUpMillis,omitempty"`
+}
+
+// Delivery says how often a request of a class may run.
+type Delivery string
+
+// The ways of delivery.
+const (
+	// Idempotent requests may run again.
+	Idempotent Delivery = "idempotent"
+	// AtMostOnce requests run once or not at all.
+	AtMostOnce Delivery = "atMostOnce"
+	// Deferrable requests are idempotent and yield to all others.
+	Deferrable Delivery = "deferrable"
+)
+
+// Class is a kind of request of a service.
+type Class struct {
+	Service         ServiceID `json:"service"`
+	Name            ClassID   `json:"class"`
+	Delivery        Delivery  `json:"delivery"`
+	DeadlineMillis  Millis    `json:"deadlineMillis"`
+	MaxRequestBytes int64     `json:"maxRequestBytes"`
+	MaxAnswerBytes  int64     `json:"maxAnswerBytes"`
+	// MaxQueued bounds the requests that wait at one VM.
+	MaxQueued int `json:"maxQueued"`
+	// ObjectiveMillis is the latency below which an answer is good.
+	ObjectiveMillis Millis `json:"objectiveMillis"`
+	// Objective is the share of requests that must be good, as 0.999.
+	Objective float64 `json:"objective"`
+}
+
+// ShiftCap bounds the requests that are served outside their home region.
+type ShiftCap struct {
+	Name    string    `json:"-"`
+	Service ServiceID `json:"service"`
+	// From and To are regions; empty means any.
+	From RegionID `json:"from,omitempty"`
+	To   RegionID `json:"to,omitempty"`
+	// PerSecond is the most requests in any second.
+	PerSecond int64 `json:"perSecond"`
+}
+
+// Algorithm names a way to choose a site.
+type Algorithm string
+
+// The algorithms.
+const (
+	Nearest     Algorithm = "nearest"
+	RoundRobin  Algorithm = "roundRobin"
+	LeastLoaded Algorithm = "leastLoaded"
+	Headroom    Algorithm = "headroom"
+)
+
+// Policy steers a share of the traffic of a service.
+type Policy struct {
+	Name    PolicyID  `json:"-"`
+	Service ServiceID `json:"service"`
+	// Class is a class of the service; empty means all.
+	Class     ClassID   `json:"class,omitempty"`
+	Algorithm Algorithm `json:"algorithm"`
+	// Weight is the policy's share among the policies of the same service and class.
+	Weight int `json:"weight"`
+	// LinkPrice is what a full link adds to the cost of a site in milliseconds.
+	LinkPrice Millis `json:"linkPriceMillis,omitempty"`
+}
+
+// Drain takes a place or a target out of service.
+type Drain struct {
+	Name          string          `json:"-"`
+	Region        RegionID        `json:"region,omitempty"`
+	FailureDomain FailureDomainID `json:"failureDomain,omitempty"`
+	Target        TargetID        `json:"target,omitempty"`
+}
