--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,13 +102,16 @@
 	st       *store.Store
 	identity store.Identity
 	machine  *state.Machine
-	start    time.Time
+	w        world
+	// post sends a message to an address.
+	post func(addr string, m *eelpb.Message)
 
 	mu       sync.Mutex
 	r        *raft.Raft
 	hard     *eelpb.HardState
 	snapshot *eelpb.Snapshot
 	waiters  map[raft.Index]waiter
+	senders  map[raft.ReplicaID]string
 
 	inbox     chan *eelpb.Message
 	proposals chan proposal
@@ -123,13 +126,38 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = snapshotBytes
 	}
-	st, d, err := store.Open(store.OS(), o.Dir, uint64(o.ID), rand.Uint64)
+	start := time.Now()
+	n, err := open(o, world{
+		fs: store.OS(), clock: func() time.Duration { return time.Since(start) }, random: rand.Uint64,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.post = n.enqueue
+	n.g = group.New(context.Background())
+	n.g.Go(n.run)
+	if !n.r.Formed() {
+		n.g.Go(n.form)
+	}
+	return n, nil
+}
+
+// world is what a replica has of the VM: files, the clock and chance.
+type world struct {
+	fs     store.FS
+	clock  func() time.Duration
+	random func() uint64
+}
+
+// open reads the replica's folder without starting anything.
+func open(o Options, w world) (*Node, error) {
+	st, d, err := store.Open(w.fs, o.Dir, uint64(o.ID), w.random)
 	if err != nil {
 		return nil, err
 	}
 	n := &Node{
-		o: o, st: st, identity: d.Identity, machine: state.New(o.Limits), start: time.Now(),
-		waiters: map[raft.Index]waiter{}, inbox: make(chan *eelpb.Message, inboxSize),
+		o: o, w: w, st: st, identity: d.Identity, machine: state.New(o.Limits),
+		waiters: map[raft.Index]waiter{}, senders: map[raft.ReplicaID]string{}, inbox: make(chan *eelpb.Message, inboxSize),
 		proposals: make(chan proposal, maxBatch), calls: make(chan func()),
 		snapshot: d.Snapshot, hard: d.Hard,
 	}
@@ -140,18 +168,13 @@
 		return nil, err
 	}
 	n.r = raft.New(n.raftConfig(), raft.Restored{Hard: d.Hard, Snapshot: d.Snapshot, Entries: d.Entries}, n.Now())
-	n.g = group.New(context.Background())
-	n.g.Go(n.run)
-	if !n.r.Formed() {
-		n.g.Go(n.form)
-	}
 	return n, nil
 }
 
 func (n *Node) raftConfig() raft.Config {
 	return raft.Config{
 		ID: n.o.ID, Incarnation: raft.Incarnation(n.identity.Incarnation),
-		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Rand: rand.New(rand.NewPCG(n.w.random(), n.w.random())),
 	}
 }
 
@@ -169,7 +192,7 @@
 
 // Now returns the monotonic time since the node started.
 func (n *Node) Now() time.Duration {
-	return time.Since(n.start)
+	return n.w.clock()
 }
 
 // Machine returns the state machine.
@@ -221,12 +244,19 @@
 
 func (n *Node) stepAll(m *eelpb.Message) {
 	n.r.Tick(n.Now())
-	n.r.Step(m, n.Now())
+	n.step(m)
 	for range len(n.inbox) {
-		n.r.Step(<-n.inbox, n.Now())
+		n.step(<-n.inbox)
 	}
 }
 
+// step hands a message to the core and keeps the address of its sender, which
+// a replica that was just added has from nowhere else.
+func (n *Node) step(m *eelpb.Message) {
+	n.senders[raft.ReplicaID(m.From)] = m.FromAddr
+	n.r.Step(m, n.Now())
+}
+
 // proposeAll appends all proposals that wait, so that one sync serves them.
 func (n *Node) proposeAll(p proposal) {
 	n.r.Tick(n.Now())
@@ -351,14 +381,20 @@
 		if m.Kind == eelpb.MessageKind_MESSAGE_SNAPSHOT {
 			m.Snapshot = n.snapshot
 		}
+		m.FromAddr = n.o.Addr
 		addr := n.addrOf(raft.ReplicaID(m.To))
 		if addr == "" {
 			continue
 		}
-		select {
-		case n.outbox(addr) <- m:
-		default: // The peer is slow or gone; the core sends again.
-		}
+		n.post(addr, m)
+	}
+}
+
+// enqueue hands a message to the sender of its address.
+func (n *Node) enqueue(addr string, m *eelpb.Message) {
+	select {
+	case n.outbox(addr) <- m:
+	default: // The peer is slow or gone; the core sends again.
 	}
 }
 
@@ -368,12 +404,7 @@
 			return m.Addr
 		}
 	}
-	for _, p := range n.o.Peers {
-		if p.ID == id {
-			return p.Addr
-		}
-	}
-	return ""
+	return n.senders[id]
 }
 
 // outbox returns the queue of messages for an address, and starts its sender.
--- /dev/null
+++ b/internal/node/sim_test.go
@@ -0,0 +1,359 @@
+package node
+
+import (
+	"bytes"
+	"container/heap"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/memfs"
+	"github.com/eelgrassroad/eelgrassroad/internal/raft"
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+)
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push adds an event.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop removes the first event.
+func (e *events) Pop() any {
+	o := *e
+	x := o[len(o)-1]
+	*e = o[:len(o)-1]
+	return x
+}
+
+// host is a replica's VM: its disk, its clock and, while it runs, its node.
+type host struct {
+	id     raft.ReplicaID
+	fs     *memfs.FS
+	n      *Node
+	rate   float64
+	offset time.Duration
+	frozen bool
+	// version is the highest catalogue version that the replica has shown.
+	version uint64
+}
+
+// group of replicas with a virtual clock, a lossy network and disks that lose power.
+type sim struct {
+	t      *testing.T
+	rnd    *rand.Rand
+	now    time.Duration
+	seq    int
+	queue  events
+	hosts  []*host
+	cut    map[[2]raft.ReplicaID]bool
+	loss   float64
+	leader map[raft.Term]raft.ReplicaID
+	// applied is the image's digest by index, which must be the same on all replicas.
+	applied map[raft.Index][]byte
+	// accepted are the changes that were acknowledged, by version.
+	accepted map[uint64]string
+	highest  uint64
+	asked    int
+}
+
+func newSim(t *testing.T, seed uint64, replicas int) *sim {
+	s := &sim{
+		t: t, rnd: rand.New(rand.NewPCG(seed, 0)), cut: map[[2]raft.ReplicaID]bool{}, loss: 0.03,
+		leader: map[raft.Term]raft.ReplicaID{}, applied: map[raft.Index][]byte{}, accepted: map[uint64]string{},
+	}
+	first := &eelpb.Membership{}
+	for i := 1; i <= replicas; i++ {
+		h := &host{
+			id: raft.ReplicaID(i), fs: memfs.New(), rate: 0.995 + 0.01*s.rnd.Float64(),
+			offset: time.Duration(s.rnd.Int64N(int64(time.Hour))),
+		}
+		s.hosts = append(s.hosts, h)
+		s.boot(h)
+		first.Members = append(first.Members, &eelpb.Member{
+			Id: uint64(i), Incarnation: h.n.identity.Incarnation, Addr: fmt.Sprint(i), Voter: true,
+		})
+	}
+	for _, h := range s.hosts {
+		assert.NilError(t, h.n.begin(first))
+		s.tick(h)
+	}
+	return s
+}
+
+// boot starts a host's node from its disk.
+func (s *sim) boot(h *host) {
+	n, err := open(Options{ID: h.id, Dir: "/d", Addr: fmt.Sprint(h.id), Log: log.NewNopLogger(), SnapshotBytes: 4096}, world{
+		fs: h.fs, random: s.rnd.Uint64,
+		clock: func() time.Duration { return time.Duration(float64(s.now)*h.rate) + h.offset },
+	})
+	assert.NilError(s.t, err, "replica %d does not start", h.id)
+	n.post = func(addr string, m *eelpb.Message) { s.send(h, addr, proto.Clone(m).(*eelpb.Message)) }
+	// A restarted replica applies its log again; until then it refuses readers that know more.
+	h.n, h.version = n, 0
+}
+
+func (s *sim) after(d time.Duration, f func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: s.now + d, seq: s.seq, f: f})
+}
+
+func (s *sim) tick(h *host) {
+	s.after(tickInterval, func() {
+		s.tick(h)
+		s.do(h, func(n *Node) { n.r.Tick(n.Now()) })
+	})
+}
+
+// do runs a step of a host's node and what follows from it. A host whose power goes out in it stops.
+func (s *sim) do(h *host, f func(n *Node)) {
+	n := h.n
+	if n == nil || h.frozen {
+		return
+	}
+	n.locked(func() { f(n) })
+	if err := n.drain(); err != nil {
+		assert.Assert(s.t, h.fs.Out(), "replica %d: %v", h.id, err)
+		s.crash(h)
+		return
+	}
+	s.check(h)
+}
+
+func (s *sim) send(from *host, addr string, m *eelpb.Message) {
+	to := s.byAddr(addr)
+	copies := 1
+	if s.rnd.Float64() < s.loss {
+		copies = s.rnd.IntN(2) * 2
+	}
+	for range copies {
+		s.after(time.Millisecond+time.Duration(s.rnd.Int64N(int64(60*time.Millisecond))), func() {
+			if !s.cut[[2]raft.ReplicaID{from.id, to.id}] {
+				s.do(to, func(n *Node) {
+					n.r.Tick(n.Now())
+					n.step(proto.Clone(m).(*eelpb.Message))
+				})
+			}
+		})
+	}
+}
+
+func (s *sim) byAddr(addr string) *host {
+	for _, h := range s.hosts {
+		if fmt.Sprint(h.id) == addr {
+			return h
+		}
+	}
+	s.t.Fatalf("no host has address %q", addr)
+	return nil
+}
+
+func (s *sim) run(d time.Duration) {
+	end := s.now + d
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.f()
+	}
+	s.now = end
+}
+
+// check holds the invariants that must hold after every step.
+func (s *sim) check(h *host) {
+	n := h.n
+	if n.r.Role() == raft.Leader {
+		old, ok := s.leader[n.r.Term()]
+		assert.Assert(s.t, !ok || old == h.id, "term %d has leaders %d and %d", n.r.Term(), old, h.id)
+		s.leader[n.r.Term()] = h.id
+	}
+	v := uint64(n.machine.Version())
+	assert.Assert(s.t, v >= h.version, "replica %d went from version %d back to %d", h.id, h.version, v)
+	h.version = v
+	s.checkLease()
+	if s.rnd.IntN(20) == 0 {
+		s.checkSame(n)
+	}
+}
+
+// checkSame compares the state with what another replica had at the same index.
+func (s *sim) checkSame(n *Node) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(n.machine.Image())
+	assert.NilError(s.t, err)
+	i := n.r.Applied()
+	if old, ok := s.applied[i]; ok {
+		assert.Assert(s.t, bytes.Equal(old, b), "states differ at index %d", i)
+	}
+	s.applied[i] = b
+}
+
+// checkLease checks that at most one replica believes that no other can lead.
+func (s *sim) checkLease() {
+	holder := raft.ReplicaID(0)
+	for _, h := range s.hosts {
+		if h.n == nil || h.n.Now() >= h.n.r.LeaseUntil() {
+			continue
+		}
+		v := uint64(h.n.machine.Version())
+		assert.Assert(s.t, v >= s.highest, "leader %d shows version %d after %d was acknowledged", h.id, v, s.highest)
+		assert.Assert(s.t, holder == 0, "replicas %d and %d both hold the leader's lease", holder, h.id)
+		holder = h.id
+	}
+}
+
+// propose sends a change based on the leader's version and notes it when it is acknowledged.
+func (s *sim) propose() {
+	for _, h := range s.hosts {
+		if h.n == nil || h.frozen || h.n.r.Role() != raft.Leader {
+			continue
+		}
+		s.asked++
+		id := fmt.Sprintf("c%d", s.asked)
+		c := &eelpb.Command{Change: &eelpb.Change{
+			ChangeId: id, BaseVersion: uint64(h.n.machine.Version()),
+			Objects: []*eelpb.Object{{Kind: "region", Name: fmt.Sprintf("r%d", s.rnd.IntN(50)), Spec: bytes.Repeat([]byte("x"), 40)}},
+		}}
+		b, err := proto.Marshal(c)
+		assert.NilError(s.t, err)
+		done := make(chan outcome, 1)
+		s.do(h, func(n *Node) { n.proposeAll(proposal{data: b, done: done}) })
+		s.await(id, done)
+	}
+}
+
+func (s *sim) await(id string, done chan outcome) {
+	select {
+	case o := <-done:
+		if o.err == nil && o.result.Change.Accepted {
+			old, ok := s.accepted[o.result.Change.Version]
+			assert.Assert(s.t, !ok || old == id, "version %d was given to %s and %s", o.result.Change.Version, old, id)
+			s.accepted[o.result.Change.Version] = id
+			s.highest = max(s.highest, o.result.Change.Version)
+		}
+	default:
+		s.after(10*time.Millisecond, func() { s.await(id, done) })
+	}
+}
+
+// crash takes the power from a host.
+func (s *sim) crash(h *host) {
+	if h.n == nil {
+		return
+	}
+	h.n.failWaiters()
+	h.n, h.frozen = nil, false
+	h.fs.Crash(s.rnd)
+}
+
+func (s *sim) up() int {
+	n := 0
+	for _, h := range s.hosts {
+		if h.n != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// disturb does one random harm.
+func (s *sim) disturb() {
+	h := s.hosts[s.rnd.IntN(len(s.hosts))]
+	switch s.rnd.IntN(7) {
+	case 0:
+		s.crash(h)
+	case 1:
+		if h.n != nil {
+			h.fs.Fuse = 1 + s.rnd.IntN(12)
+		}
+	case 2:
+		h.frozen = h.n != nil
+	case 3, 4:
+		o := s.hosts[s.rnd.IntN(len(s.hosts))]
+		s.cut[[2]raft.ReplicaID{h.id, o.id}] = true
+		if s.rnd.IntN(2) == 0 {
+			s.cut[[2]raft.ReplicaID{o.id, h.id}] = true
+		}
+	default:
+		s.repair()
+	}
+}
+
+// repair ends all harm.
+func (s *sim) repair() {
+	clear(s.cut)
+	for _, h := range s.hosts {
+		h.frozen = false
+		if h.n == nil {
+			s.boot(h)
+		}
+	}
+}
+
+// finish repairs everything and checks that nothing acknowledged was lost.
+func (s *sim) finish() {
+	s.repair()
+	s.loss = 0
+	for _, h := range s.hosts {
+		h.fs.Fuse = -1
+	}
+	s.run(10 * time.Second)
+	s.propose()
+	s.run(3 * time.Second)
+	for _, h := range s.hosts {
+		if !h.n.r.Formed() {
+			continue
+		}
+		s.checkSame(h.n)
+		for v, id := range s.accepted {
+			r, ok := h.n.machine.Result(id)
+			assert.Assert(s.t, ok && r.Accepted && r.Version == v, "replica %d lost change %s, acknowledged as version %d", h.id, id, v)
+		}
+	}
+}
+
+var seedCount = flag.Uint64("seeds", 12, "how many seeds each random test runs")
+
+// seeds returns how many seeds a test runs.
+func seeds(t *testing.T) uint64 {
+	t.Logf("seeds 0 to %d", *seedCount-1)
+	return *seedCount
+}
+
+func TestRandomHarm(t *testing.T) {
+	accepted, terms := 0, 0
+	for _, replicas := range []int{3, 5} {
+		for seed := range seeds(t) {
+			t.Run(fmt.Sprintf("replicas=%d/seed=%d", replicas, seed), func(t *testing.T) {
+				s := newSim(t, seed, replicas)
+				for range 150 {
+					s.run(time.Duration(s.rnd.Int64N(int64(400 * time.Millisecond))))
+					s.propose()
+					if s.rnd.IntN(3) == 0 {
+						s.disturb()
+					}
+				}
+				s.finish()
+				accepted += len(s.accepted)
+				terms += len(s.leader)
+			})
+		}
+	}
+	t.Logf("%d changes acknowledged under %d leaders", accepted, terms)
+	assert.Assert(t, uint64(accepted) > 20**seedCount, "too few changes were accepted to prove anything")
+}
--- /dev/null
+++ b/internal/raft/raft_test.go
@@ -0,0 +1,181 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"gotest.tools/v3/assert"
+)
+
+const long = 2 * DefaultElectionTimeout
+
+func three() *eelpb.Membership {
+	m := &eelpb.Membership{}
+	for i := uint64(1); i <= 3; i++ {
+		m.Members = append(m.Members, &eelpb.Member{Id: i, Incarnation: 10 + i, Voter: true})
+	}
+	return m
+}
+
+// replica returns replica 1 of three, with entries of the given terms after the first snapshot.
+func replica(h *eelpb.HardState, now time.Duration, terms ...uint64) *Raft {
+	d := Restored{Hard: h, Snapshot: &eelpb.Snapshot{Index: 1, Term: 1, Membership: three()}}
+	for i, t := range terms {
+		d.Entries = append(d.Entries, &eelpb.LogEntry{Index: uint64(i) + 2, Term: t})
+	}
+	return New(Config{ID: 1, Incarnation: 11, Rand: rand.New(rand.NewPCG(1, 1))}, d, now)
+}
+
+func from(id uint64, k eelpb.MessageKind, term uint64) *eelpb.Message {
+	return &eelpb.Message{Kind: k, From: id, FromIncarnation: 10 + id, To: 1, ToIncarnation: 11, Term: term}
+}
+
+func voteRequest(id, term, index, logTerm uint64) *eelpb.Message {
+	m := from(id, eelpb.MessageKind_MESSAGE_VOTE, term)
+	m.LogIndex, m.LogTerm = index, logTerm
+	return m
+}
+
+// granted tells whether a Ready grants a vote.
+func granted(d Ready) bool {
+	for _, m := range d.Messages {
+		if m.Kind == eelpb.MessageKind_MESSAGE_VOTE_REPLY && !m.Reject {
+			return true
+		}
+	}
+	return false
+}
+
+func TestVotes(t *testing.T) {
+	tests := []struct {
+		name  string
+		hard  *eelpb.HardState
+		heard time.Duration
+		m     *eelpb.Message
+		want  bool
+	}{
+		{"first of a term", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 2, 1), true},
+		{"voted for another", &eelpb.HardState{Term: 2, Vote: 3}, 0, voteRequest(2, 2, 2, 1), false},
+		{"voted for the same", &eelpb.HardState{Term: 2, Vote: 2}, 0, voteRequest(2, 2, 2, 1), true},
+		{"shorter log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 1, 1), false},
+		{"older log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 9, 0), false},
+		{"older term", &eelpb.HardState{Term: 5}, 0, voteRequest(2, 2, 2, 1), false},
+		{"leader heard just now", &eelpb.HardState{Term: 1}, long - time.Millisecond, voteRequest(2, 2, 2, 1), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := replica(tt.hard, 0, 1)
+			if tt.heard > 0 {
+				r.Step(from(3, eelpb.MessageKind_MESSAGE_APPEND, 1), tt.heard)
+				r.Ready()
+			}
+			r.Step(tt.m, long)
+			assert.Equal(t, granted(r.Ready()), tt.want)
+		})
+	}
+}
+
+// A vote is in the hard state of the Ready that sends it, so that it is durable first.
+func TestVoteIsDurable(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 2}, 0, 1)
+	r.Step(voteRequest(2, 2, 2, 1), long)
+	d := r.Ready()
+	assert.Assert(t, granted(d))
+	assert.Equal(t, d.Hard.GetTerm(), uint64(2))
+	assert.Equal(t, d.Hard.GetVote(), uint64(2))
+	again := replica(d.Hard, 0, 1)
+	again.Step(voteRequest(3, 2, 2, 1), long)
+	assert.Assert(t, !granted(again.Ready()), "two votes in one term")
+}
+
+// lead makes a replica win an election with the vote of replica 2.
+func lead(t *testing.T, r *Raft) {
+	t.Helper()
+	r.Tick(long)
+	r.Ready()
+	r.Step(from(2, eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, uint64(r.Term())+1), long)
+	r.Ready()
+	r.Step(from(2, eelpb.MessageKind_MESSAGE_VOTE_REPLY, uint64(r.Term())), long)
+	assert.Equal(t, r.Role(), Leader)
+	r.Advance(r.Ready())
+}
+
+func follows(r *Raft, id, index uint64, sent, now time.Duration) {
+	m := from(id, eelpb.MessageKind_MESSAGE_APPEND_REPLY, uint64(r.Term()))
+	m.LogIndex, m.SentAt = index, int64(sent)
+	r.Step(m, now)
+}
+
+// An entry of an earlier term is committed only with one of the leader's own
+// (section 5.4.2 of the Raft paper).
+func TestCommitNeedsOwnTerm(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 3}, 0, 2, 2)
+	lead(t, r)
+	follows(r, 2, 3, long, long)
+	assert.Equal(t, r.Commit(), Index(1))
+	follows(r, 2, 4, long, long)
+	assert.Equal(t, r.Commit(), Index(4))
+}
+
+func TestLease(t *testing.T) {
+	const d = DefaultElectionTimeout
+	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	lead(t, r)
+	assert.Equal(t, r.LeaseUntil(), time.Duration(0), "nothing is committed in the term")
+	follows(r, 2, 3, long, long+10*time.Millisecond)
+	assert.Equal(t, r.LeaseUntil(), long+d-d/clockRateBound, "the lease counts from when the message was sent")
+	follows(r, 2, 3, long+d/2, long+d/2)
+	assert.Equal(t, r.LeaseUntil(), long+d/2+d-d/clockRateBound)
+	r.Tick(long + d/2 + d)
+	assert.Equal(t, r.Role(), Follower, "a leader without a quorum steps down")
+	assert.Equal(t, r.LeaseUntil(), time.Duration(0))
+}
+
+func TestTransferEndsLease(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	lead(t, r)
+	follows(r, 2, 3, long, long)
+	assert.Assert(t, r.LeaseUntil() > long)
+	assert.Assert(t, r.Transfer())
+	assert.Equal(t, r.LeaseUntil(), time.Duration(0))
+	_, err := r.Propose([]byte("x"))
+	assert.Assert(t, fault.Is(err, KindNotLeader))
+	r.Tick(long + DefaultElectionTimeout)
+	assert.Equal(t, r.Role(), Follower, "the lease does not come back after a transfer that failed")
+}
+
+func TestMembershipChanges(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	_, err := r.AddLearner(&eelpb.Member{Id: 4})
+	assert.Assert(t, fault.Is(err, KindNotLeader), "%v", err)
+	lead(t, r)
+	follows(r, 2, 3, long, long)
+	now := long + DefaultElectionTimeout/2
+	follows(r, 2, 3, now, now)
+	r.Tick(now + DefaultElectionTimeout/2)
+	tests := []struct {
+		name string
+		f    func() error
+		kind Kind
+	}{
+		{"add a member again", func() error { _, err := r.AddLearner(&eelpb.Member{Id: 2}); return err }, KindUnsafe},
+		{"promote a stranger", func() error { _, err := r.Promote(9); return err }, KindUnknown},
+		{"remove a stranger", func() error { _, err := r.Remove(9); return err }, KindUnknown},
+		{"remove a live voter while another is silent", func() error { _, err := r.Remove(2); return err }, KindUnsafe},
+		{"remove the silent voter", func() error { _, err := r.Remove(3); return err }, ""},
+		{"change while another is pending", func() error { _, err := r.AddLearner(&eelpb.Member{Id: 4}); return err }, KindPending},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			err := tt.f()
+			if tt.kind == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.Assert(t, fault.Is(err, tt.kind), "%v", err)
+		})
+	}
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -20,7 +20,7 @@
 		r.stepPreVoteReply(m)
 		return
 	case eelpb.MessageKind_MESSAGE_VOTE:
-		if r.inLease(m) || !r.knows(m) {
+		if r.inLease(m) || !r.Formed() {
 			return
 		}
 	}
@@ -85,7 +85,7 @@
 }
 
 func (r *Raft) stepPreVote(m *eelpb.Message) {
-	if !r.knows(m) || !r.isVoter() {
+	if !r.Formed() {
 		return
 	}
 	ok := Term(m.Term) > r.term && !r.inLease(m) && r.upToDate(m)
@@ -93,7 +93,7 @@
 	if !ok {
 		t = uint64(r.term)
 	}
-	r.send(ReplicaID(m.From), &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, Term: t, Reject: !ok})
+	r.reply(m, &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, Term: t, Reject: !ok})
 }
 
 func (r *Raft) stepPreVoteReply(m *eelpb.Message) {
@@ -110,10 +110,10 @@
 	r.countVotes()
 }
 
+// stepVote answers any candidate that addresses this incarnation: the candidate's
+// membership has it as a voter, even where this replica has not heard of its
+// promotion yet.
 func (r *Raft) stepVote(m *eelpb.Message) {
-	if !r.isVoter() {
-		return
-	}
 	from := ReplicaID(m.From)
 	ok := (r.vote == 0 || r.vote == from) && r.role != Leader && r.upToDate(m)
 	if ok {
@@ -121,7 +121,7 @@
 		r.hardDirty = true
 		r.resetElection()
 	}
-	r.send(from, &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_VOTE_REPLY, Reject: !ok})
+	r.reply(m, &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_VOTE_REPLY, Reject: !ok})
 }
 
 func (r *Raft) stepVoteReply(m *eelpb.Message) {
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,188 @@
+package store_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/memfs"
+	"github.com/eelgrassroad/eelgrassroad/internal/store"
+	"gotest.tools/v3/assert"
+)
+
+const logName = "/d/log-00000000000000000000"
+
+func incarnation() uint64 { return 7 }
+
+func entries(from, to uint64) []*eelpb.LogEntry {
+	var out []*eelpb.LogEntry
+	for i := from; i <= to; i++ {
+		out = append(out, &eelpb.LogEntry{Index: i, Term: 1, Data: fmt.Appendf(nil, "entry %d", i)})
+	}
+	return out
+}
+
+func open(t *testing.T, f *memfs.FS) (*store.Store, *store.Disk) {
+	t.Helper()
+	s, d, err := store.Open(f, "/d", 1, incarnation)
+	assert.NilError(t, err)
+	return s, d
+}
+
+// filled returns a disk with n saved entries, one to a record.
+func filled(t *testing.T, n uint64) *memfs.FS {
+	f := memfs.New()
+	s, _ := open(t, f)
+	for i := uint64(1); i <= n; i++ {
+		assert.NilError(t, s.Save(&eelpb.HardState{Term: 1, Vote: i}, entries(i, i)))
+	}
+	assert.NilError(t, s.Close())
+	return f
+}
+
+func TestOpen(t *testing.T) {
+	tests := []struct {
+		name   string
+		damage func(f *memfs.FS, size int)
+		kind   store.Kind
+		kept   int
+	}{
+		{"whole", func(*memfs.FS, int) {}, "", 5},
+		{"tail damaged", func(f *memfs.FS, size int) { f.Damage(logName, size-1) }, "", 4},
+		{"header of the tail damaged", func(f *memfs.FS, size int) { f.Damage(logName, size-36) }, "", 4},
+		{"first record damaged", func(f *memfs.FS, _ int) { f.Damage(logName, 20) }, store.KindCorrupt, 0},
+		{"first header damaged", func(f *memfs.FS, _ int) { f.Damage(logName, 5) }, store.KindCorrupt, 0},
+		{"middle damaged", func(f *memfs.FS, size int) { f.Damage(logName, size/2) }, store.KindCorrupt, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := filled(t, 5)
+			b, err := f.ReadFile(logName)
+			assert.NilError(t, err)
+			tt.damage(f, len(b))
+			_, d, err := store.Open(f, "/d", 1, incarnation)
+			if tt.kind != "" {
+				assert.Assert(t, fault.Is(err, tt.kind), "%v", err)
+				assert.ErrorContains(t, err, logName)
+				assert.ErrorContains(t, err, "offset")
+				assert.ErrorContains(t, err, "replace the replica")
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, len(d.Entries), tt.kept)
+		})
+	}
+}
+
+func TestOpenRefuses(t *testing.T) {
+	f := filled(t, 1)
+	s, _ := open(t, f)
+	_, _, err := store.Open(f, "/d", 1, incarnation)
+	assert.Assert(t, fault.Is(err, store.KindLocked), "%v", err)
+	assert.NilError(t, s.Close())
+	_, _, err = store.Open(f, "/d", 2, incarnation)
+	assert.Assert(t, fault.Is(err, store.KindWrongID), "%v", err)
+}
+
+func TestLockOfTheVM(t *testing.T) {
+	dir := t.TempDir()
+	s, _, err := store.Open(store.OS(), dir, 1, incarnation)
+	assert.NilError(t, err)
+	_, _, err = store.Open(store.OS(), dir, 1, incarnation)
+	assert.Assert(t, fault.Is(err, store.KindLocked), "%v", err)
+	assert.NilError(t, s.Save(nil, entries(1, 3)))
+	assert.NilError(t, s.Close())
+	s, d, err := store.Open(store.OS(), dir, 1, incarnation)
+	assert.NilError(t, err)
+	assert.Equal(t, len(d.Entries), 3)
+	assert.NilError(t, s.Close())
+}
+
+// Power is lost at each step of a series of writes: what was acknowledged is
+// there, in order, and nothing that was not written.
+func TestPowerLoss(t *testing.T) {
+	const steps = 160
+	for fuse := 1; fuse <= steps; fuse++ {
+		for seed := range uint64(4) {
+			rnd := rand.New(rand.NewPCG(uint64(fuse), seed))
+			f := memfs.New()
+			f.Fuse = fuse
+			acked, base := write(f)
+			f.Crash(rnd)
+			s, d, err := store.Open(f, "/d", 1, incarnation)
+			assert.NilError(t, err, "fuse %d seed %d", fuse, seed)
+			checkDisk(t, d, acked, base, fuse)
+			assert.NilError(t, s.Save(nil, entries(lastOf(d)+1, lastOf(d)+1)))
+			assert.NilError(t, s.Close())
+			_, again := open(t, f)
+			assert.Equal(t, lastOf(again), lastOf(d)+1)
+		}
+	}
+}
+
+// write saves entries and snapshots until the power goes out, and returns the
+// last acknowledged entry and snapshot.
+func write(f *memfs.FS) (acked, base uint64) {
+	s, _, err := store.Open(f, "/d", 1, incarnation)
+	if err != nil {
+		return 0, 0
+	}
+	for i := uint64(1); ; i++ {
+		if s.Save(&eelpb.HardState{Term: i}, entries(i, i)) != nil {
+			return acked, base
+		}
+		acked = i
+		if i%5 != 0 {
+			continue
+		}
+		n := &eelpb.Snapshot{Index: i - 2, Term: 1, Data: []byte("state")}
+		if s.SaveSnapshot(n, &eelpb.HardState{Term: i}, entries(i-1, i)) != nil {
+			return acked, base
+		}
+		base = i - 2
+	}
+}
+
+func lastOf(d *store.Disk) uint64 {
+	return d.Snapshot.GetIndex() + uint64(len(d.Entries))
+}
+
+func checkDisk(t *testing.T, d *store.Disk, acked, base uint64, fuse int) {
+	t.Helper()
+	assert.Assert(t, lastOf(d) >= acked, "fuse %d: entry %d was acknowledged, the last is %d", fuse, acked, lastOf(d))
+	assert.Assert(t, lastOf(d) <= acked+1, "fuse %d: entry %d was never written", fuse, lastOf(d))
+	assert.Assert(t, d.Snapshot.GetIndex() >= base, "fuse %d: snapshot %d is lost", fuse, base)
+	assert.Assert(t, d.Hard.GetTerm() >= acked, "fuse %d: term %d is lost", fuse, acked)
+	for i, e := range d.Entries {
+		assert.Equal(t, e.Index, d.Snapshot.GetIndex()+uint64(i)+1)
+		assert.Equal(t, string(e.Data), fmt.Sprintf("entry %d", e.Index))
+	}
+}
+
+// FuzzOpen feeds recovery with any bytes: it opens, or refuses with an error.
+func FuzzOpen(f *testing.F) {
+	d := memfs.New()
+	s, _, err := store.Open(d, "/d", 1, incarnation)
+	assert.NilError(f, err)
+	assert.NilError(f, s.Save(&eelpb.HardState{Term: 3}, entries(1, 2)))
+	b, err := d.ReadFile(logName)
+	assert.NilError(f, err)
+	f.Add(b)
+	f.Add(b[:len(b)-3])
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m := memfs.New()
+		w, err := m.Create(logName)
+		assert.NilError(t, err)
+		_, err = w.Write(b)
+		assert.NilError(t, err)
+		s, got, err := store.Open(m, "/d", 1, incarnation)
+		if err != nil {
+			assert.Assert(t, fault.Is(err, store.KindCorrupt), "%v", err)
+			return
+		}
+		assert.NilError(t, s.Save(nil, entries(lastOf(got)+1, lastOf(got)+1)))
+	})
+}
