Prove the promises with scenarios of separate processes

Cause found by the scenarios: - once: a request ran 4 times. Go's HTTP transport sends a GET again by itself when a reused connection breaks; requests that run at most once now carry a body that it cannot rewind. - stop: a forwarded request was cut (connection reset by an owner that had stopped while other entries' directories still named it). A leaving entry now waits until its targets are handed over, and one lease more. - leader: an operator's call hung 10 s on a frozen leader; each address now gets 4 s, and all are asked until the call's time is over.

--- a/cmd/eelfake/call.go
+++ b/cmd/eelfake/call.go
@@ -67,6 +67,7 @@
 	Deadline time.Duration `long:"deadline" default:"5s" description:"time for each answer"`
 	Body     int           `long:"body-bytes" default:"0" description:"size of the requests"`
 	Resends  int           `long:"resends" default:"0" description:"how often a request is sent again after notRun"`
+	Copies   int           `long:"copies" default:"1" description:"copies of each request sent at once by different callers"`
 	Journal  string        `long:"journal" description:"file that gets a line for each request with its outcome"`
 	Prefix   string        `long:"prefix" default:"load" description:"start of the request ids"`
 }
@@ -111,6 +112,6 @@
 	}
 	return fakes.Stream{
 		Service: model.ServiceID(service), Class: model.ClassID(class), PerSecond: n,
-		Deadline: c.Deadline, BodyBytes: c.Body, Resends: c.Resends,
+		Deadline: c.Deadline, BodyBytes: c.Body, Resends: c.Resends, Copies: c.Copies,
 	}, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -150,9 +150,11 @@
 	x.leaving.Store(true)
 	x.kick()
 	sleep(ctx, x.o.ListLife+listSlack)
-	for x.pools.inFlight() > 0 && ctx.Err() == nil {
+	for x.pools.held() > 0 && ctx.Err() == nil {
 		sleep(ctx, retryPause)
 	}
+	// By then every other entry has a directory without this one, or no lease.
+	sleep(ctx, x.leaseLength()+listSlack)
 	return x.now() - from
 }
 
@@ -176,6 +178,12 @@
 // Refused returns a channel with the reason why the entry can never hold a lease.
 func (x *Entry) Refused() <-chan error { return x.refused }
 
+func (x *Entry) leaseLength() time.Duration {
+	x.lease.mu.Lock()
+	defer x.lease.mu.Unlock()
+	return x.lease.length
+}
+
 // kick makes the entry renew its lease now.
 func (x *Entry) kick() {
 	select {
@@ -199,6 +207,7 @@
 	incarnation uint64
 	sequence    uint64
 	until       time.Duration
+	length      time.Duration
 	grant       uint64
 }
 
@@ -253,6 +262,13 @@
 	p.each(func(s model.ServiceID, x *pool.Pool) { x.Own(owned[s]) })
 }
 
+// held returns how many targets the entry owns or still has requests at.
+func (p *pools) held() int {
+	n := 0
+	p.each(func(_ model.ServiceID, x *pool.Pool) { n += len(x.Held()) })
+	return n
+}
+
 func (p *pools) inFlight() int {
 	n := 0
 	p.each(func(_ model.ServiceID, x *pool.Pool) { n += x.InFlight() })
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -108,6 +108,9 @@
 	if err != nil {
 		return refused(0, "request cannot be made: %v", err), pool.Good
 	}
+	if j.atMostOnce() {
+		neverReplay(q)
+	}
 	if j.contentType != "" {
 		q.Header.Set("Content-Type", j.contentType)
 	}
@@ -131,6 +134,13 @@
 	return verdict{kind: verdictAnswered, answer: w}, pool.Good
 }
 
+// neverReplay keeps the HTTP transport from sending a request again by itself,
+// which it does with methods such as GET when a reused connection breaks.
+func neverReplay(q *http.Request) {
+	q.Body = struct{ io.ReadCloser }{q.Body}
+	q.GetBody = nil
+}
+
 // whole reads an answer, and fails where it is not known to be the whole answer to this request.
 func (x *Entry) whole(ctx context.Context, j *job, res *http.Response, p *permit) ([]byte, error) {
 	if id := res.Header.Get(wire.HeaderRequestID); id != string(j.id) {
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -128,7 +128,8 @@
 	x.rebuild()
 	x.lease.mu.Lock()
 	defer x.lease.mu.Unlock()
-	x.lease.until = sent + time.Duration(r.LeaseMs)*time.Millisecond
+	x.lease.length = time.Duration(r.LeaseMs) * time.Millisecond
+	x.lease.until = sent + x.lease.length
 	x.lease.grant = r.Grant
 }
 
--- a/internal/fakes/load.go
+++ b/internal/fakes/load.go
@@ -1,8 +1,10 @@
 package fakes
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strconv"
@@ -25,6 +27,8 @@
 	BodyBytes int           `json:"bodyBytes"`
 	// Resends is how often a request is sent again after notRun, when it was told to come back.
 	Resends int `json:"resends"`
+	// Copies is how many copies of a request are sent at once, by different callers.
+	Copies int `json:"copies"`
 }
 
 // LoadOptions are the settings of a load.
@@ -103,19 +107,21 @@
 			break
 		}
 		time.Sleep(time.Until(start.Add(at)))
-		c := o.Clients[n%len(o.Clients)]
 		q := caller.Request{
 			Service: s.Service, Class: s.Class, Path: "/load", Deadline: s.Deadline,
 			ID: requestID(o.Prefix, s.Class, n), Body: make([]byte, s.BodyBytes),
 		}
 		planned := start.Add(at)
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			a := send(ctx, c, q, s.Resends)
-			t.add(a, planned, s.Deadline)
-			t.write(o.Journal, Ending{Request: q.ID, Class: s.Class, Outcome: a.Outcome, Reason: a.Reason})
-		}()
+		for k := range max(1, s.Copies) {
+			c := o.Clients[(n+k)%len(o.Clients)]
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				a := send(ctx, c, q, s.Resends)
+				t.add(a, planned, s.Deadline)
+				t.write(o.Journal, ending(q, a))
+			}()
+		}
 	}
 	wg.Wait()
 }
@@ -163,6 +169,16 @@
 	Class   model.ClassID   `json:"class"`
 	Outcome wire.Outcome    `json:"outcome"`
 	Reason  string          `json:"reason,omitempty"`
+	// Wrong marks an answer that is not the whole answer to the request.
+	Wrong bool `json:"wrong,omitempty"`
+}
+
+func ending(q caller.Request, a caller.Answer) Ending {
+	e := Ending{Request: q.ID, Class: q.Class, Outcome: a.Outcome, Reason: a.Reason}
+	if a.Outcome == wire.Answered {
+		e.Wrong = !bytes.HasPrefix(a.Body, fmt.Appendf(nil, "{\"request\":%q,", q.ID)) || !bytes.Contains(a.Body, []byte("}"))
+	}
+	return e
 }
 
 func (t *tally) write(w io.Writer, e Ending) {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -261,16 +261,6 @@
 	h.fs.Crash(s.rnd)
 }
 
-func (s *sim) up() int {
-	n := 0
-	for _, h := range s.hosts {
-		if h.n != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // disturb does one random harm.
 func (s *sim) disturb() {
 	h := s.hosts[s.rnd.IntN(len(s.hosts))]
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -36,7 +36,7 @@
 // Error is the error of this package.
 type Error = fault.Error[Kind]
 
-const callTimeout = 20 * time.Second
+const callTimeout = 40 * time.Second
 
 type options struct {
 	Addrs     []string `long:"addr" env:"EEL_ADDRS" env-delim:"," description:"address of an entry or a replica, IP:PORT; may be given several times"`
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -21,20 +21,21 @@
 }
 
 // replica returns replica 1 of three, with entries of the given terms after the first snapshot.
-func replica(h *eelpb.HardState, now time.Duration, terms ...uint64) *Raft {
+func replica(h *eelpb.HardState, terms ...uint64) *Raft {
 	d := Restored{Hard: h, Snapshot: &eelpb.Snapshot{Index: 1, Term: 1, Membership: three()}}
 	for i, t := range terms {
 		d.Entries = append(d.Entries, &eelpb.LogEntry{Index: uint64(i) + 2, Term: t})
 	}
-	return New(Config{ID: 1, Incarnation: 11, Rand: rand.New(rand.NewPCG(1, 1))}, d, now)
+	return New(Config{ID: 1, Incarnation: 11, Rand: rand.New(rand.NewPCG(1, 1))}, d, 0)
 }
 
 func from(id uint64, k eelpb.MessageKind, term uint64) *eelpb.Message {
 	return &eelpb.Message{Kind: k, From: id, FromIncarnation: 10 + id, To: 1, ToIncarnation: 11, Term: term}
 }
 
-func voteRequest(id, term, index, logTerm uint64) *eelpb.Message {
-	m := from(id, eelpb.MessageKind_MESSAGE_VOTE, term)
+// voteRequest asks for a vote in term 2.
+func voteRequest(id, index, logTerm uint64) *eelpb.Message {
+	m := from(id, eelpb.MessageKind_MESSAGE_VOTE, 2)
 	m.LogIndex, m.LogTerm = index, logTerm
 	return m
 }
@@ -57,17 +58,17 @@
 		m     *eelpb.Message
 		want  bool
 	}{
-		{"first of a term", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 2, 1), true},
-		{"voted for another", &eelpb.HardState{Term: 2, Vote: 3}, 0, voteRequest(2, 2, 2, 1), false},
-		{"voted for the same", &eelpb.HardState{Term: 2, Vote: 2}, 0, voteRequest(2, 2, 2, 1), true},
-		{"shorter log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 1, 1), false},
-		{"older log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 9, 0), false},
-		{"older term", &eelpb.HardState{Term: 5}, 0, voteRequest(2, 2, 2, 1), false},
-		{"leader heard just now", &eelpb.HardState{Term: 1}, long - time.Millisecond, voteRequest(2, 2, 2, 1), false},
+		{"first of a term", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 2, 1), true},
+		{"voted for another", &eelpb.HardState{Term: 2, Vote: 3}, 0, voteRequest(2, 2, 1), false},
+		{"voted for the same", &eelpb.HardState{Term: 2, Vote: 2}, 0, voteRequest(2, 2, 1), true},
+		{"shorter log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 1, 1), false},
+		{"older log", &eelpb.HardState{Term: 1}, 0, voteRequest(2, 9, 0), false},
+		{"older term", &eelpb.HardState{Term: 5}, 0, voteRequest(2, 2, 1), false},
+		{"leader heard just now", &eelpb.HardState{Term: 1}, long - time.Millisecond, voteRequest(2, 2, 1), false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			r := replica(tt.hard, 0, 1)
+			r := replica(tt.hard, 1)
 			if tt.heard > 0 {
 				r.Step(from(3, eelpb.MessageKind_MESSAGE_APPEND, 1), tt.heard)
 				r.Ready()
@@ -80,14 +81,14 @@
 
 // A vote is in the hard state of the Ready that sends it, so that it is durable first.
 func TestVoteIsDurable(t *testing.T) {
-	r := replica(&eelpb.HardState{Term: 2}, 0, 1)
-	r.Step(voteRequest(2, 2, 2, 1), long)
+	r := replica(&eelpb.HardState{Term: 2}, 1)
+	r.Step(voteRequest(2, 2, 1), long)
 	d := r.Ready()
 	assert.Assert(t, granted(d))
 	assert.Equal(t, d.Hard.GetTerm(), uint64(2))
 	assert.Equal(t, d.Hard.GetVote(), uint64(2))
-	again := replica(d.Hard, 0, 1)
-	again.Step(voteRequest(3, 2, 2, 1), long)
+	again := replica(d.Hard, 1)
+	again.Step(voteRequest(3, 2, 1), long)
 	assert.Assert(t, !granted(again.Ready()), "two votes in one term")
 }
 
@@ -103,8 +104,9 @@
 	r.Advance(r.Ready())
 }
 
-func follows(r *Raft, id, index uint64, sent, now time.Duration) {
-	m := from(id, eelpb.MessageKind_MESSAGE_APPEND_REPLY, uint64(r.Term()))
+// follows acknowledges entries for replica 2.
+func follows(r *Raft, index uint64, sent, now time.Duration) {
+	m := from(2, eelpb.MessageKind_MESSAGE_APPEND_REPLY, uint64(r.Term()))
 	m.LogIndex, m.SentAt = index, int64(sent)
 	r.Step(m, now)
 }
@@ -112,22 +114,22 @@
 // An entry of an earlier term is committed only with one of the leader's own
 // (section 5.4.2 of the Raft paper).
 func TestCommitNeedsOwnTerm(t *testing.T) {
-	r := replica(&eelpb.HardState{Term: 3}, 0, 2, 2)
+	r := replica(&eelpb.HardState{Term: 3}, 2, 2)
 	lead(t, r)
-	follows(r, 2, 3, long, long)
+	follows(r, 3, long, long)
 	assert.Equal(t, r.Commit(), Index(1))
-	follows(r, 2, 4, long, long)
+	follows(r, 4, long, long)
 	assert.Equal(t, r.Commit(), Index(4))
 }
 
 func TestLease(t *testing.T) {
 	const d = DefaultElectionTimeout
-	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	r := replica(&eelpb.HardState{Term: 1}, 1)
 	lead(t, r)
 	assert.Equal(t, r.LeaseUntil(), time.Duration(0), "nothing is committed in the term")
-	follows(r, 2, 3, long, long+10*time.Millisecond)
+	follows(r, 3, long, long+10*time.Millisecond)
 	assert.Equal(t, r.LeaseUntil(), long+d-d/clockRateBound, "the lease counts from when the message was sent")
-	follows(r, 2, 3, long+d/2, long+d/2)
+	follows(r, 3, long+d/2, long+d/2)
 	assert.Equal(t, r.LeaseUntil(), long+d/2+d-d/clockRateBound)
 	r.Tick(long + d/2 + d)
 	assert.Equal(t, r.Role(), Follower, "a leader without a quorum steps down")
@@ -135,9 +137,9 @@
 }
 
 func TestTransferEndsLease(t *testing.T) {
-	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	r := replica(&eelpb.HardState{Term: 1}, 1)
 	lead(t, r)
-	follows(r, 2, 3, long, long)
+	follows(r, 3, long, long)
 	assert.Assert(t, r.LeaseUntil() > long)
 	assert.Assert(t, r.Transfer())
 	assert.Equal(t, r.LeaseUntil(), time.Duration(0))
@@ -148,13 +150,13 @@
 }
 
 func TestMembershipChanges(t *testing.T) {
-	r := replica(&eelpb.HardState{Term: 1}, 0, 1)
+	r := replica(&eelpb.HardState{Term: 1}, 1)
 	_, err := r.AddLearner(&eelpb.Member{Id: 4})
 	assert.Assert(t, fault.Is(err, KindNotLeader), "%v", err)
 	lead(t, r)
-	follows(r, 2, 3, long, long)
+	follows(r, 3, long, long)
 	now := long + DefaultElectionTimeout/2
-	follows(r, 2, 3, now, now)
+	follows(r, 3, now, now)
 	r.Tick(now + DefaultElectionTimeout/2)
 	tests := []struct {
 		name string
--- a/internal/script/check_test.go
+++ b/internal/script/check_test.go
@@ -50,7 +50,11 @@
 	ts.Logf("%d runs in the journal", len(runs))
 	switch args[0] {
 	case "once":
-		checkOnce(ts, runs)
+		checkOnce(ts, ofClass(runs, args[1:]))
+	case "whole":
+		checkWhole(ts, endings(ts))
+	case "least":
+		checkLeast(ts, endings(ts), number(ts, args[1]))
 	case "truth":
 		checkTruth(ts, runs, endings(ts))
 	case "late":
@@ -74,6 +78,31 @@
 	return n
 }
 
+// ofClass keeps the runs of a class, which is in the request ids of loads.
+func ofClass(runs []fakes.Run, class []string) []fakes.Run {
+	if len(class) == 0 {
+		return runs
+	}
+	return slices.DeleteFunc(slices.Clone(runs), func(r fakes.Run) bool {
+		return !strings.Contains(string(r.Request), "-"+class[0]+"-")
+	})
+}
+
+func checkWhole(ts *testscript.TestScript, ends []fakes.Ending) {
+	for _, e := range ends {
+		if e.Wrong {
+			ts.Fatalf("request %s got a wrong or partial answer", e.Request)
+		}
+	}
+}
+
+func checkLeast(ts *testscript.TestScript, ends []fakes.Ending, n int) {
+	ts.Logf("%d requests in the journals", len(ends))
+	if len(ends) < n {
+		ts.Fatalf("only %d requests were sent, not %d", len(ends), n)
+	}
+}
+
 func checkOnce(ts *testscript.TestScript, runs []fakes.Run) {
 	for id, n := range counts(runs) {
 		if n > 1 {
--- a/internal/script/cmds_test.go
+++ b/internal/script/cmds_test.go
@@ -30,10 +30,11 @@
 	commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 		"state": cmdState, "entry": cmdEntry, "target": cmdTarget, "restart": cmdRestart, "apply": cmdApply,
 		"ready": cmdReady, "halt": cmdHalt, "crash": each((*deployment).kill), "freeze": each((*deployment).freeze),
-		"thaw": each((*deployment).thaw), "cut": cmdCut(true), "heal": cmdCut(false), "wipe": cmdWipe,
+		"thaw": each((*deployment).thaw), "cut": cmdCut(true), "cutoff": cmdCutOff(true), "rejoin": cmdCutOff(false), "heal": cmdCut(false), "wipe": cmdWipe,
 		"fault": cmdFault, "call": printing((*deployment).call), "ctl": printing((*deployment).ctl),
 		"leader": printing((*deployment).leader), "get": printing((*deployment).get1),
-		"load": cmdLoad, "loadwait": cmdLoadWait, "expect": cmdExpect, "never": cmdNever, "sleep": cmdSleep, "check": cmdCheck,
+		"load": cmdLoad, "loadwait": cmdLoadWait, "expect": cmdExpect, "never": cmdNever, "sleep": cmdSleep, "check": cmdCheck, "drain": cmdDrain,
+		"old": cmdOld, "changes": cmdChanges, "race": cmdRace, "logsize": cmdLogSize,
 	}
 }
 
@@ -75,10 +76,19 @@
 }
 
 func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	d := of(ts)
 	for _, a := range args {
-		p, err := of(ts).get(a)
+		p, err := d.get(a)
 		ts.Check(err)
-		ts.Check(of(ts).start(p))
+		ts.Check(d.start(p))
+	}
+	if len(args) > 0 {
+		return
+	}
+	for _, p := range d.procs {
+		if !p.running() {
+			ts.Check(d.start(p))
+		}
 	}
 }
 
@@ -95,11 +105,6 @@
 func each(f func(d *deployment, p *process) error) cmdFunc {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		for _, a := range args {
-			if a == "leader" {
-				name, err := of(ts).leader(nil)
-				ts.Check(err)
-				a = strings.TrimSpace(name)
-			}
 			p, err := of(ts).get(a)
 			ts.Check(err)
 			ts.Check(f(of(ts), p))
@@ -140,6 +145,24 @@
 	}
 }
 
+// cmdCutOff cuts a replica off from the other replicas.
+func cmdCutOff(cut bool) cmdFunc {
+	return func(ts *testscript.TestScript, _ bool, args []string) {
+		need(ts, args, 1, "cutoff REPLICA")
+		d := of(ts)
+		a, err := d.get(args[0])
+		ts.Check(err)
+		for i := range d.replicas {
+			b := d.procs[fmt.Sprintf("state%d", i+1)]
+			if cut {
+				d.net.Cut(a.ip, b.ip)
+			} else {
+				d.net.Heal(a.ip, b.ip)
+			}
+		}
+	}
+}
+
 func cmdWipe(ts *testscript.TestScript, _ bool, args []string) {
 	for _, a := range args {
 		ts.Check(os.RemoveAll(of(ts).data(a)))
@@ -318,6 +341,9 @@
 func (d *deployment) leader([]string) (string, error) {
 	for i, r := range d.replicas {
 		name := fmt.Sprintf("state%d", i+1)
+		if name == d.old {
+			continue
+		}
 		if p, ok := d.procs[name]; !ok || !p.running() || p.frozen {
 			continue
 		}
--- a/internal/script/deploy_test.go
+++ b/internal/script/deploy_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -58,6 +59,8 @@
 	replicas []string
 	targets  []string
 	loads    map[string]*load
+	// old is the leader that a scenario has frozen or cut off.
+	old string
 }
 
 func newDeployment(dir string) *deployment {
@@ -153,6 +156,16 @@
 }
 
 func (d *deployment) get(name string) (*process, error) {
+	if name == "leader" {
+		n, err := d.leader(nil)
+		if err != nil {
+			return nil, err
+		}
+		name = strings.TrimSpace(n)
+	}
+	if name == "old" {
+		name = d.old
+	}
 	p, ok := d.procs[name]
 	if !ok {
 		return nil, fmt.Errorf("process %q does not exist", name)
--- a/internal/script/doc.go
+++ b/internal/script/doc.go
@@ -9,7 +9,7 @@
 // # Language
 //
 //	state N                        start state replicas 1 to N
-//	restart NAME                   start a stopped or killed process again
+//	restart [NAME...]              start stopped or killed processes again; without a name, all
 //	entry NAME DOMAIN              start an entry
 //	target NAME SERVICE DOMAIN [flags...]   start a fake target
 //	apply FILE                     put a catalogue file in force with the admin token
@@ -17,6 +17,13 @@
 //	halt NAME...                   planned stop; fails if the process does not end well
 //	crash NAME... | freeze NAME... | thaw NAME...
 //	cut NAME NAME... | heal NAME NAME...   lose silently what the first and the others send each other
+//	old leader                     call the present leader "old" from now on
+//	cutoff REPLICA | rejoin REPLICA   cut a replica off from the others
+//	changes N                      make N changes of the catalogue
+//	race N                         let four operators race with equal versions, N times
+//	drain TARGET                   tell a fake target to leave
+//	logsize BYTES                  fail if a replica's folder is larger
+//	get NAME PATH                  print what a process answers; NAME may be leader or old
 //	wipe NAME                      remove a stopped process's data folder
 //	fault TARGET KIND              make a fake target misbehave
 //	call [flags...]                send one request; prints its outcome as JSON
@@ -27,7 +34,9 @@
 //	never LENGTH REGEXP COMMAND...     fail if a command's output matches within a time
 //	leader                         print the name of the leading replica
 //	sleep LENGTH
-//	check once                     no request ran twice
+//	check once [CLASS]             no request ran twice
+//	check whole                    no caller got a wrong or partial answer
+//	check least N                  at least N requests were sent
 //	check truth                    requests told notRun did not run, answered ones ran
 //	check late MILLIS              no target got work later than that after it began to drain
 //	check slots N                  no target had more requests at once
--- a/internal/script/script_test.go
+++ b/internal/script/script_test.go
@@ -1,6 +1,7 @@
 package script
 
 import (
+	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -13,9 +14,13 @@
 var binaries string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	os.Exit(runAll(m))
 }
 
+// parallel is how many scenarios run at once: each is a dozen processes.
+const parallel = "2"
+
 func runAll(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "eel")
 	if err != nil {
@@ -29,6 +34,10 @@
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
 	}
+	if err := flag.Set("test.parallel", parallel); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
 	return m.Run()
 }
 
--- /dev/null
+++ b/internal/script/state_test.go
@@ -0,0 +1,130 @@
+package script
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/pkg/admin"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdOld names the present leader "old": old leader.
+func cmdOld(ts *testscript.TestScript, _ bool, _ []string) {
+	d := of(ts)
+	d.old = ""
+	p, err := d.get("leader")
+	ts.Check(err)
+	d.old = p.name
+}
+
+// cmdDrain tells a fake target to leave, whatever reaches the entries.
+func cmdDrain(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "drain TARGET")
+	p, err := of(ts).get(args[0])
+	ts.Check(err)
+	res, err := http.Get("http://" + front(p.ip) + "/fake/drain")
+	ts.Check(err)
+	res.Body.Close()
+}
+
+func (d *deployment) admin() *admin.Client {
+	return admin.New(admin.Options{Addrs: d.replicas, Token: adminToken})
+}
+
+func drainOf(target string) model.Object {
+	return model.Object{
+		Kind: model.ObjectDrain, Name: target, Owner: "kalogeropoulos", Spec: fmt.Appendf(nil, "{\"target\":%q}", target),
+	}
+}
+
+// cmdChanges makes many changes, one after the other.
+func cmdChanges(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "changes N")
+	c := of(ts).admin()
+	ctx := context.Background()
+	for i := range number(ts, args[0]) {
+		cat, err := c.Catalogue(ctx)
+		ts.Check(err)
+		_, err = c.Change(ctx, wire.Change{
+			ChangeID: fmt.Sprintf("many-%d", i), BaseVersion: cat.Version, Put: []model.Object{drainOf(fmt.Sprintf("x%d", i%40))},
+		})
+		ts.Check(err)
+	}
+}
+
+// racers is how many operators race.
+const racers = 4
+
+// cmdRace lets operators send changes with equal versions, N times over.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "race N")
+	c := of(ts).admin()
+	for i := range number(ts, args[0]) {
+		cat, err := c.Catalogue(context.Background())
+		ts.Check(err)
+		if won := raceOnce(ts, c, cat.Version, i); won != 1 {
+			ts.Fatalf("%d of %d changes with equal versions won", won, racers)
+		}
+	}
+}
+
+func raceOnce(ts *testscript.TestScript, c *admin.Client, base model.Version, round int) int {
+	results := make([]wire.ChangeResult, racers)
+	errs := make([]error, racers)
+	var wg sync.WaitGroup
+	for k := range racers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			results[k], errs[k] = c.Change(context.Background(), wire.Change{
+				ChangeID: fmt.Sprintf("race-%d-%d", round, k), BaseVersion: base,
+				Put: []model.Object{drainOf(fmt.Sprintf("y%d", k))},
+			})
+		}()
+	}
+	wg.Wait()
+	winner, won := "", 0
+	for k := range racers {
+		if errs[k] == nil {
+			won++
+			winner = results[k].ChangeID
+		}
+	}
+	for k := range racers {
+		if errs[k] == nil {
+			continue
+		}
+		if !fault.Is(errs[k], admin.KindConflict) || results[k].WinnerChangeID != winner {
+			ts.Fatalf("loser %d saw %q, not %q: %v", k, results[k].WinnerChangeID, winner, errs[k])
+		}
+	}
+	return won
+}
+
+// cmdLogSize checks that no replica's folder is over a number of bytes.
+func cmdLogSize(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "logsize BYTES")
+	d := of(ts)
+	for i := range d.replicas {
+		dir := d.data(fmt.Sprintf("state%d", i+1))
+		names, err := filepath.Glob(filepath.Join(dir, "*"))
+		ts.Check(err)
+		sum := int64(0)
+		for _, n := range names {
+			s, err := os.Stat(n)
+			ts.Check(err)
+			sum += s.Size()
+		}
+		ts.Logf("%s: %d bytes in %d files", dir, sum, len(names))
+		if sum > int64(number(ts, args[0])) {
+			ts.Fatalf("%s has %d bytes", dir, sum)
+		}
+	}
+}
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -19,6 +19,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/burn"
@@ -42,7 +43,12 @@
 // Error is the error of this package.
 type Error = fault.Error[Kind]
 
-const callTimeout = 10 * time.Second
+const (
+	callTimeout = 15 * time.Second
+	// onceTimeout is how long one address may take; a commit may take three seconds.
+	onceTimeout = 4 * time.Second
+	roundPause  = 100 * time.Millisecond
+)
 
 // Options are the settings of a client.
 type Options struct {
@@ -59,7 +65,7 @@
 
 // New returns a client.
 func New(o Options) *Client {
-	return &Client{o: o, c: &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}}
+	return &Client{o: o, c: &http.Client{Timeout: onceTimeout, Transport: &http.Transport{}}}
 }
 
 // Catalogue returns the catalogue.
@@ -108,25 +114,47 @@
 	return a, err
 }
 
-// call asks one address after the other, and the leader that a replica names.
+// call asks the addresses one after the other, and the leader that a replica
+// names, until one of them gives a definite answer or the time is over.
 func (c *Client) call(ctx context.Context, method, path string, q, a any) (int, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
 		return 0, fault.New("admin.call", KindRefused, err)
 	}
+	if len(c.o.Addrs) == 0 {
+		return 0, fault.Newf("admin.call", KindRefused, "no address is given")
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for {
+		status, err := c.round(ctx, method, path, body, a)
+		if err == nil || fault.Is(err, KindRefused) || status == http.StatusConflict {
+			return status, err
+		}
+		select {
+		case <-ctx.Done():
+			return status, err
+		case <-time.After(roundPause):
+		}
+	}
+}
+
+// round asks each address once.
+func (c *Client) round(ctx context.Context, method, path string, body []byte, a any) (int, error) {
 	addrs := append([]string(nil), c.o.Addrs...)
-	last := fault.Newf("admin.call", KindRefused, "no address is given")
-	for i := 0; i < len(addrs) && i < maxAddrs; i++ {
-		status, leader, err := c.once(ctx, method, addrs[i], path, body, a)
+	var status int
+	var err error
+	for i := 0; i < len(addrs) && i < maxAddrs && ctx.Err() == nil; i++ {
+		var leader string
+		status, leader, err = c.once(ctx, method, addrs[i], path, body, a)
 		if err == nil || fault.Is(err, KindRefused) || status == http.StatusConflict {
 			return status, err
 		}
-		if leader != "" {
+		if leader != "" && !slices.Contains(addrs[i:], leader) {
 			addrs = append(addrs, leader)
 		}
-		last = err
 	}
-	return 0, last
+	return status, err
 }
 
 const (
