--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -142,7 +142,7 @@
 			return last
 		}
 		tried.Add(i)
-		s := &sites[i]
+		s := &sites.List[i]
 		p, wait, ok := x.permit(v.catalogue, j, s)
 		if !ok {
 			last = refused(wait, "a link or shift cap to region %q is full", s.Region)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -9,7 +9,8 @@
 //
 //	t := steer.NewTable(catalogue, home, vms)
 //	s := t.Sites("registry")
-//	i := steer.Choose(steer.Query{Policy: p, Home: "attiki"}, s, tried)
+//	i := steer.Choose(steer.Query{Policy: p, Home: "attiki"}, s, &tried)
+//	site := &s.List[i]
 //
 // The choice of the less loaded of two random sites is from Mitzenmacher, "The
 // Power of Two Choices in Randomized Load Balancing" (2001).
@@ -126,17 +127,33 @@
 	return s.inUse(now) >= float64(s.Slots)
 }
 
+// Sites are the sites of a service, nearest first, with an index by region.
+type Sites struct {
+	List     []Site
+	byRegion map[model.RegionID][]int32
+}
+
+// NewSites indexes sites that are ordered by delay.
+func NewSites(list []Site) *Sites {
+	s := &Sites{List: list, byRegion: map[model.RegionID][]int32{}}
+	for i := range list {
+		r := list[i].Region
+		s.byRegion[r] = append(s.byRegion[r], int32(i))
+	}
+	return s
+}
+
 // Choose returns the index of the site to try next, or -1.
-func Choose(q Query, sites []Site, tried *Tried) int {
+func Choose(q Query, s *Sites, tried *Tried) int {
 	switch q.Policy.Algorithm {
 	case model.RoundRobin:
-		return roundRobin(q, sites, tried)
+		return roundRobin(q, s.List, tried)
 	case model.LeastLoaded:
-		return leastOfTwo(q, sites, tried)
+		return leastOfTwo(q, s, tried)
 	case model.Headroom:
-		return cheapest(q, sites, tried, headroomCost)
+		return cheapest(q, s.List, tried, headroomCost)
 	}
-	return cheapest(q, sites, tried, nearestCost)
+	return cheapest(q, s.List, tried, nearestCost)
 }
 
 func roundRobin(q Query, sites []Site, tried *Tried) int {
@@ -150,23 +167,23 @@
 	return -1
 }
 
-// leastOfTwo compares two random sites of the home region, and of all regions
-// once those are full.
-func leastOfTwo(q Query, sites []Site, tried *Tried) int {
-	i := twoOf(q, sites, tried, true)
-	if i >= 0 && !sites[i].full(q.Now) {
+// leastOfTwo compares two random sites of the home region, and the nearest of
+// all regions once those are full.
+func leastOfTwo(q Query, s *Sites, tried *Tried) int {
+	home := s.byRegion[q.Home]
+	i := lesser(q, s.List, randomSite(s.List, home, tried), randomSite(s.List, home, tried))
+	if i >= 0 && !s.List[i].full(q.Now) {
 		return i
 	}
-	j := cheapest(q, sites, tried, loadCost)
-	if i < 0 || j >= 0 && !sites[j].full(q.Now) {
+	j := cheapest(q, s.List, tried, loadCost)
+	if i < 0 || j >= 0 && !s.List[j].full(q.Now) {
 		return j
 	}
 	return i
 }
 
-func twoOf(q Query, sites []Site, tried *Tried, homeOnly bool) int {
-	a := randomSite(q, sites, tried, homeOnly)
-	b := randomSite(q, sites, tried, homeOnly)
+// lesser returns which of two sites costs less; -1 is none.
+func lesser(q Query, sites []Site, a, b int) int {
 	if a < 0 {
 		return b
 	}
@@ -176,28 +193,21 @@
 	return b
 }
 
-// randomSite returns a random usable site, weighted by slots.
-func randomSite(q Query, sites []Site, tried *Tried, homeOnly bool) int {
-	best, key := -1, 0.0
-	start := rand.IntN(max(1, len(sites)))
-	seen := 0
-	for k := range sites {
-		i := start + k
-		if i >= len(sites) {
-			i -= len(sites)
-		}
-		s := &sites[i]
-		if s.Slots <= 0 || tried.Has(i) || homeOnly && s.Region != q.Home {
-			continue
-		}
-		if r := rand.Float64() * float64(s.Slots); best < 0 || r > key {
-			best, key = i, r
-		}
-		if seen++; seen >= maxCandidates {
-			break
+// maxDraws bounds the draws for a site that can be used.
+const maxDraws = 8
+
+// randomSite returns a random usable site among the indexes, or -1.
+func randomSite(sites []Site, among []int32, tried *Tried) int {
+	if len(among) == 0 {
+		return -1
+	}
+	for range maxDraws {
+		i := int(among[rand.IntN(len(among))])
+		if sites[i].Slots > 0 && !tried.Has(i) {
+			return i
 		}
 	}
-	return best
+	return -1
 }
 
 // cheapest returns the site of least cost among the first candidates; sites are
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -18,7 +18,7 @@
 
 // Table lists the sites by service, nearest first. It is not changed after it was built.
 type Table struct {
-	sites map[model.ServiceID][]Site
+	sites map[model.ServiceID]*Sites
 }
 
 // Self is the VM that a table is for.
@@ -33,20 +33,24 @@
 
 // NewTable builds the table of a VM.
 func NewTable(c *model.Catalogue, self Self, reports []Report) *Table {
-	t := &Table{sites: map[model.ServiceID][]Site{}}
+	t := &Table{sites: map[model.ServiceID]*Sites{}}
+	lists := map[model.ServiceID][]Site{}
 	here := c.RegionOf(self.Domain)
 	for _, r := range reports {
 		for _, l := range r.VM.Sites {
-			t.add(c, self, here, r, l)
+			if s, ok := newSite(c, self, here, r, l); ok {
+				lists[model.ServiceID(l.Service)] = append(lists[model.ServiceID(l.Service)], s)
+			}
 		}
 	}
-	for _, s := range t.sites {
+	for svc, s := range lists {
 		slices.SortFunc(s, func(a, b Site) int {
 			if d := cmp.Compare(a.Delay, b.Delay); d != 0 {
 				return d
 			}
 			return cmp.Compare(siteHash(self.VM, a), siteHash(self.VM, b))
 		})
+		t.sites[svc] = NewSites(s)
 	}
 	return t
 }
@@ -60,10 +64,10 @@
 	return h.Sum64()
 }
 
-func (t *Table) add(c *model.Catalogue, self Self, here model.RegionID, r Report, l *eelpb.SiteLoad) {
+func newSite(c *model.Catalogue, self Self, here model.RegionID, r Report, l *eelpb.SiteLoad) (Site, bool) {
 	d := model.FailureDomainID(l.FailureDomain)
 	if c.Drained(d, "") || l.Slots == 0 {
-		return
+		return Site{}, false
 	}
 	id, svc := model.VMID(r.VM.Id), model.ServiceID(l.Service)
 	s := Site{
@@ -76,7 +80,7 @@
 	if s.Region != here {
 		s.Link = self.Link(s.Region)
 	}
-	t.sites[svc] = append(t.sites[svc], s)
+	return s, true
 }
 
 // sameRegionDelay is the way between two failure domains of a region and back.
@@ -94,9 +98,14 @@
 	return 0
 }
 
-// Sites returns the sites of a service, nearest first.
-func (t *Table) Sites(s model.ServiceID) []Site {
-	return t.sites[s]
+var noSites = NewSites(nil)
+
+// Sites returns the sites of a service.
+func (t *Table) Sites(s model.ServiceID) *Sites {
+	if x, ok := t.sites[s]; ok {
+		return x
+	}
+	return noSites
 }
 
 // PickPolicy returns the policy of a request: the policies of a class, or else
