One owner a site, admission by expected wait, and three faults found by scenarios

A site now has one owner, hops tell the owner's queue, an owner refuses by the expected wait, and the claim is committed while the request queues. - once: an entry without a lease said notRun for a request that had run by another entry. Such an entry now closes the claim, or says unknown. - replace: a removal counted a replica that had fallen silent just before, and the group stood still. The voters that remain must now answer after the call. - settings: an entry with another's id never ended. Shown failing: TestRemoveRightAfterElection and Script/once before the change.

--- a/cmd/eelfake/demo.go
+++ b/cmd/eelfake/demo.go
@@ -38,8 +38,8 @@
 	}
 	defer os.RemoveAll(dir)
 	d, err := demo.New(ctx, demo.Options{
-		Objects: objects, Dir: dir, Net: c.Net, EntriesPerDomain: 1, Slots: 3, ServiceTime: 20 * time.Millisecond,
-		Targets: map[model.ServiceID]int{"registry": 2, "archive": 1}, Log: l,
+		Objects: objects, Dir: dir, Net: c.Net, Entries: 6, Slots: 3, ServiceTime: 20 * time.Millisecond,
+		Targets: map[model.ServiceID]int{"registry": 12, "archive": 6}, Log: l,
 	})
 	if err != nil {
 		return err
--- a/cmd/eelfake/main.go
+++ b/cmd/eelfake/main.go
@@ -28,6 +28,7 @@
 		{"target", "play a target", &targetCmd{}},
 		{"call", "send one request", &callCmd{}},
 		{"load", "send requests at a rate", &loadCmd{}},
+		{"round", "measure a firm's deployment under a load", &roundCmd{}},
 		{"demo", "run a whole deployment in this process", &demoCmd{}},
 	} {
 		if _, err := p.AddCommand(c.name, c.short, "", c.data); err != nil {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	d, err := demo.New(ctx, demo.Options{Objects: objects, Dir: dir, Net: 9, EntriesPerDomain: 1})
+//	d, err := demo.New(ctx, demo.Options{Objects: objects, Dir: dir, Net: 9, Entries: 6})
 //	defer d.Close()
 //	err = demo.Show(ctx, d, demo.ShowOptions{Length: 12 * time.Second, Out: os.Stdout})
 package demo
@@ -17,6 +17,7 @@
 	"net/http"
 	"path/filepath"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
@@ -54,12 +55,14 @@
 	Dir string
 	// Net is the second byte of the deployment's addresses, 127.Net.x.y.
 	Net int
-	// EntriesPerDomain, and Targets by service in each failure domain.
-	EntriesPerDomain int
-	Targets          map[model.ServiceID]int
-	Slots            int
-	ServiceTime      time.Duration
-	Log              log.Logger
+	// Entries is how many entries there are, and Targets how many targets by
+	// service; both are spread over the failure domains in turn.
+	Entries     int
+	Targets     map[model.ServiceID]int
+	Slots       int
+	ServiceTime time.Duration
+	AnswerBytes int
+	Log         log.Logger
 }
 
 // place is where a host is.
@@ -74,6 +77,7 @@
 	c       *model.Catalogue
 	domains []model.FailureDomainID
 	key     *guard.Key
+	mu      sync.RWMutex
 	hosts   map[string]place
 	closers []func() error
 
@@ -95,7 +99,10 @@
 	d := &Deployment{o: o, c: c, key: guard.NewKey(sharedKey), hosts: map[string]place{}, Net: relay.New()}
 	d.domains = sortedDomains(c)
 	d.Net.SetDelay(d.delay)
-	d.Net.SetZone(func(host string) string { return string(d.hosts[host].region) })
+	d.Net.SetZone(func(host string) string {
+		p, _ := d.placeOf(host)
+		return string(p.region)
+	})
 	steps := []func(context.Context) error{d.startStates, d.putCatalogue, d.startEntries, d.startTargets, d.waitReady}
 	for _, f := range steps {
 		if err := f(ctx); err != nil {
@@ -113,8 +120,8 @@
 
 // delay returns the one-way delay between two hosts by their places.
 func (d *Deployment) delay(from, to string) time.Duration {
-	a, aok := d.hosts[from]
-	b, bok := d.hosts[to]
+	a, aok := d.placeOf(from)
+	b, bok := d.placeOf(to)
 	if !aok || !bok {
 		return callerDelay
 	}
@@ -128,6 +135,13 @@
 	return l.DelayMillis.Duration()
 }
 
+func (d *Deployment) placeOf(host string) (place, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	p, ok := d.hosts[host]
+	return p, ok
+}
+
 func (d *Deployment) ip(kind, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", d.o.Net, kind, n)
 }
@@ -136,7 +150,9 @@
 
 // front puts a host behind the relay and returns its two addresses.
 func (d *Deployment) front(ip string, domain model.FailureDomainID) (setup.Network, error) {
+	d.mu.Lock()
 	d.hosts[ip] = place{domain: domain, region: d.c.RegionOf(domain)}
+	d.mu.Unlock()
 	n := setup.Network{Listen: addr(ip, behindPort), Advertise: addr(ip, frontPort), BindSource: true}
 	return n, d.Net.Front(n.Advertise, n.Listen)
 }
@@ -201,39 +217,36 @@
 }
 
 func (d *Deployment) startEntries(context.Context) error {
-	for i, domain := range d.domains {
-		for k := range d.o.EntriesPerDomain {
-			n, err := d.front(d.ip(entryHosts, i*d.o.EntriesPerDomain+k+1), domain)
-			if err != nil {
-				return err
-			}
-			x, err := entry.New(entry.Options{
-				ID: model.VMID(fmt.Sprintf("%s-%d", domain, k+1)), Addr: n.Advertise, Domain: domain, ListLife: listLife,
-				Replicas: d.Replicas, Key: d.key, Dial: n.Dialer(), Log: d.o.Log,
-			})
-			if err != nil {
-				return err
-			}
-			d.Entries = append(d.Entries, x)
-			d.Addrs = append(d.Addrs, n.Advertise)
-			d.closers = append(d.closers, x.Close)
-			if err := d.serve(n, x.Handler()); err != nil {
-				return err
-			}
+	for i := range d.o.Entries {
+		domain := d.domains[i%len(d.domains)]
+		n, err := d.front(d.ip(entryHosts, i+1), domain)
+		if err != nil {
+			return err
+		}
+		x, err := entry.New(entry.Options{
+			ID: model.VMID(fmt.Sprintf("%s-%d", domain, i/len(d.domains)+1)), Addr: n.Advertise, Domain: domain,
+			ListLife: listLife, Replicas: d.Replicas, Key: d.key, Dial: n.Dialer(), Log: d.o.Log,
+		})
+		if err != nil {
+			return err
+		}
+		d.Entries = append(d.Entries, x)
+		d.Addrs = append(d.Addrs, n.Advertise)
+		d.closers = append(d.closers, x.Close)
+		if err := d.serve(n, x.Handler()); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
 func (d *Deployment) startTargets(context.Context) error {
-	number := 0
-	for s, per := range d.o.Targets {
-		for i, domain := range d.domains {
-			for k := range per {
-				number++
-				if err := d.startTarget(s, domain, number, i*per+k+1); err != nil {
-					return err
-				}
+	host := 0
+	for s, n := range d.o.Targets {
+		for i := range n {
+			host++
+			if err := d.startTarget(s, d.domains[i%len(d.domains)], host, i+1); err != nil {
+				return err
 			}
 		}
 	}
@@ -247,7 +260,7 @@
 	}
 	t, err := fakes.NewTarget(fakes.TargetOptions{
 		ID: model.TargetID(fmt.Sprintf("%s-%d", s, number)), Service: s, Domain: domain, Listen: n.Listen, Advertise: n.Advertise,
-		Dial: n.Dialer(), Entries: d.Addrs, Slots: d.o.Slots, ServiceTime: d.o.ServiceTime, Spread: true,
+		Dial: n.Dialer(), Entries: d.Addrs, Slots: d.o.Slots, ServiceTime: d.o.ServiceTime, Spread: true, AnswerBytes: d.o.AnswerBytes,
 	})
 	if err != nil {
 		return err
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -35,9 +35,9 @@
 func Show(ctx context.Context, d *Deployment, o ShowOptions) error {
 	fmt.Fprintf(o.Out, "%d replicas, %d entries, %d targets; load of %s, seed %d\n",
 		len(d.Nodes), len(d.Entries), len(d.Targets), o.Length, o.Seed)
-	room := newHeadroom(d)
+	room := NewHeadroom(d)
 	g := group.New(ctx)
-	g.Every(time.Second/10, func(context.Context) { room.look() })
+	g.Every(time.Second/10, func(context.Context) { room.Look() })
 	g.Go(func(ctx context.Context) error { return swapHalfWay(ctx, d, o) })
 	clients := d.Callers()
 	results := fakes.Load(ctx, fakes.LoadOptions{Seed: o.Seed, Length: o.Length, Streams: o.Streams, Clients: clients, Prefix: "demo"})
@@ -63,6 +63,12 @@
 	return w.Flush()
 }
 
+// Least returns the least spare part of each region's slots.
+func (h *Headroom) Least() map[model.RegionID]float64 { return h.least }
+
+// Catalogue returns the catalogue that the deployment started with.
+func (d *Deployment) Catalogue() *model.Catalogue { return d.c }
+
 // Callers returns one caller in each region.
 func (d *Deployment) Callers() []*caller.Client {
 	var out []*caller.Client
@@ -132,17 +138,19 @@
 	}
 }
 
-// headroom keeps the least spare slots that each region had.
-type headroom struct {
+// Headroom keeps the least spare slots that each region had.
+type Headroom struct {
 	d     *Deployment
 	least map[model.RegionID]float64
 }
 
-func newHeadroom(d *Deployment) *headroom {
-	return &headroom{d: d, least: map[model.RegionID]float64{}}
+// NewHeadroom returns a record without any look.
+func NewHeadroom(d *Deployment) *Headroom {
+	return &Headroom{d: d, least: map[model.RegionID]float64{}}
 }
 
-func (h *headroom) look() {
+// Look takes the spare slots of this moment.
+func (h *Headroom) Look() {
 	used, all := map[model.RegionID]int{}, map[model.RegionID]int{}
 	for _, t := range h.d.Targets {
 		r := h.d.regionOf(t)
@@ -161,7 +169,7 @@
 	return d.c.RegionOf(t.Domain())
 }
 
-func (h *headroom) write(w io.Writer) {
+func (h *Headroom) write(w io.Writer) {
 	fmt.Fprintln(w, "\nREGION\tLEAST SPARE SLOTS (looked at ten times a second)")
 	for _, r := range slices.Sorted(maps.Keys(h.least)) {
 		fmt.Fprintf(w, "%s\t%.0f%%\n", r, 100*h.least[r])
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -17,37 +17,66 @@
 	recordTimeout = 10 * time.Second
 )
 
+// claimed is what came of taking a claim.
+type claimed struct {
+	r   *eelpb.ClaimReply
+	err error
+}
+
 // once dispatches a request that runs at most once: the claim is committed
-// first, and nothing is sent twice under one claim.
-func (x *Entry) once(ctx context.Context, j *job, s *pool.Slot, a ownerAsk, ready func() error) verdict {
+// first, and nothing is sent twice under one claim. The claim is committed
+// while the request waits for its slot.
+func (x *Entry) once(ctx context.Context, j *job, t *pool.Ticket, a ownerAsk, asked time.Duration) verdict {
 	o := &eelpb.ClaimOp{
 		Kind: eelpb.ClaimKind_CLAIM_TAKE, RequestId: string(j.id), Digest: j.digest(),
 		Attempt: j.claimAttempt(j.try), Vm: string(x.o.ID), Token: rand.Uint64(),
 	}
-	r, err := x.state.claim(ctx, o)
-	if err != nil {
-		s.Release()
-		return broken("claim: %v", err)
+	done := make(chan claimed, 1)
+	x.g.Go(func(context.Context) error {
+		r, err := x.state.claim(ctx, o)
+		done <- claimed{r, err}
+		return nil
+	})
+	s, err := t.Wait(ctx)
+	c := <-done
+	if c.err != nil || !c.r.Ok {
+		if err == nil {
+			s.Release()
+		}
+		return x.notTaken(c)
 	}
-	if !r.Ok {
-		s.Release()
-		return x.fromRecord(r)
+	if err != nil {
+		return x.reopen(ctx, o, err.Error())
 	}
-	if err := ready(); err != nil {
+	if err := x.mayDispatch(j, s, a, asked); err != nil {
 		s.Release()
 		return x.reopen(ctx, o, err.Error())
 	}
 	return x.dispatchOnce(ctx, j, s, a, o)
 }
 
+func (x *Entry) notTaken(c claimed) verdict {
+	if c.err != nil {
+		return broken("claim: %v", c.err)
+	}
+	return x.fromRecord(c.r)
+}
+
 // dispatchOnce sends the request and records how it ended, also where the
-// caller has left or the deadline has passed.
+// caller has left or the deadline has passed. The caller's answer does not wait
+// for the record: a resend that comes first waits for it.
 func (x *Entry) dispatchOnce(ctx context.Context, j *job, s *pool.Slot, a ownerAsk, o *eelpb.ClaimOp) verdict {
 	done := make(chan verdict, 1)
 	x.g.Go(func(context.Context) error {
 		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), j.deadline-x.now()+afterGrace)
 		defer cancel()
-		done <- x.record(late, o, x.dispatch(late, j, s, a))
+		v := x.dispatch(late, j, s, a)
+		if v.kind == verdictRefused {
+			done <- x.reopen(late, o, v.reason)
+			return nil
+		}
+		done <- v
+		x.record(o, v)
 		return nil
 	})
 	select {
@@ -59,10 +88,7 @@
 }
 
 // record commits the result of a dispatch to its claim.
-func (x *Entry) record(ctx context.Context, o *eelpb.ClaimOp, v verdict) verdict {
-	if v.kind == verdictRefused {
-		return x.reopen(ctx, o, v.reason)
-	}
+func (x *Entry) record(o *eelpb.ClaimOp, v verdict) {
 	f := &eelpb.ClaimOp{
 		Kind: eelpb.ClaimKind_CLAIM_FINISH, RequestId: o.RequestId, Digest: o.Digest, Vm: o.Vm, Token: o.Token,
 		Unknown: v.kind != verdictAnswered,
@@ -70,12 +96,11 @@
 	if v.kind == verdictAnswered {
 		f.Answer = keptAnswer(v.answer)
 	}
-	t, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
-	if _, err := x.state.claim(t, f); err != nil {
+	if _, err := x.state.claim(ctx, f); err != nil {
 		level.Warn(x.o.Log).Log("msg", "result not recorded", "request", o.RequestId, "err", err)
 	}
-	return v
 }
 
 func keptAnswer(a *answer) *eelpb.Answer {
@@ -123,6 +148,18 @@
 	return verdict{kind: verdictAnswered, answer: w}
 }
 
+// lapsedCloseTimeout is how long an entry without a lease tries to close a claim.
+const lapsedCloseTimeout = 500 * time.Millisecond
+
+// closeTimeout is how long the entry tries to close a claim. Without a lease
+// there may be no quorum to close it, and the caller is not to wait for that.
+func (x *Entry) closeTimeout() time.Duration {
+	if x.valid() {
+		return recordTimeout
+	}
+	return lapsedCloseTimeout
+}
+
 // settle turns the last try of a request into its final outcome. A request
 // that runs at most once is told notRun only when its claim is closed.
 func (x *Entry) settle(ctx context.Context, j *job, v verdict) verdict {
@@ -133,6 +170,8 @@
 		Kind: eelpb.ClaimKind_CLAIM_CLOSE, RequestId: string(j.id), Digest: j.digest(),
 		Attempt: j.claimAttempt(lastTry), Vm: string(x.o.ID),
 	}
+	ctx, cancel := context.WithTimeout(ctx, x.closeTimeout())
+	defer cancel()
 	for {
 		r, err := x.state.claim(ctx, o)
 		if err != nil {
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -31,8 +31,8 @@
 func (x *Entry) serve(c echo.Context) error {
 	from := x.now()
 	v := x.view.Load()
-	if v == nil || !x.valid() {
-		return x.say(c, nil, refused(defaultRetryAfter, "entry holds no lease"))
+	if v == nil {
+		return x.say(c, nil, broken("entry has no catalogue yet"))
 	}
 	j, status, err := x.read(c, v, from)
 	if err != nil {
@@ -131,6 +131,9 @@
 // steer sends a request to one site after the other, within the retry budget,
 // until one answers or none is left.
 func (x *Entry) steer(ctx context.Context, v *view, j *job) verdict {
+	if !x.valid() {
+		return refused(defaultRetryAfter, "entry holds no lease")
+	}
 	x.budget.Earn()
 	sites := v.table.Sites(j.service)
 	last := refused(defaultRetryAfter, "no site of service %q has a ready target", j.service)
@@ -175,6 +178,7 @@
 	shifted := s.Region != j.home
 	var r verdict
 	if s.Local {
+		defer func() { s.Gauge.See(int32(x.pools.get(j.service).Load()), x.now()) }()
 		r = x.own(ctx, j, ownerAsk{domain: s.Domain, shifted: shifted, permit: p})
 	} else {
 		r = x.forward(ctx, j, s, shifted, p)
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -139,7 +139,7 @@
 	h := w.Header()
 	h.Set(headerVerdict, string(v.kind))
 	h.Set(wire.HeaderTarget, string(v.target))
-	h.Set(headerLoad, strconv.Itoa(x.pools.get(j.service).InFlight()))
+	h.Set(headerLoad, strconv.Itoa(x.pools.get(j.service).Load()))
 	body := []byte(v.reason)
 	if v.kind == verdictAnswered {
 		body = v.answer.body
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -42,16 +42,22 @@
 	}
 	if a.shifted {
 		q.MaxWait = shiftJitter
+	} else if j.cls.Delivery != model.Deferrable {
+		// A longer queue would only make every answer late.
+		q.AdmitWait = j.cls.ObjectiveMillis.Duration()
 	}
-	s, err := p.Acquire(ctx, q)
+	t, err := p.Enter(q)
 	if err != nil {
 		return refusedBy(p, err)
 	}
-	ready := func() error { return x.mayDispatch(j, s, a, asked) }
 	if j.atMostOnce() {
-		return x.once(ctx, j, s, a, ready)
+		return x.once(ctx, j, t, a, asked)
 	}
-	if err := ready(); err != nil {
+	s, err := t.Wait(ctx)
+	if err != nil {
+		return refusedBy(p, err)
+	}
+	if err := x.mayDispatch(j, s, a, asked); err != nil {
 		s.Release()
 		return refused(noTargetWait, "%v", err)
 	}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -69,7 +69,7 @@
 func (x *Entry) refusal(err error) {
 	level.Debug(x.o.Log).Log("msg", "lease not renewed", "err", err)
 	var t twirp.Error
-	if !errors.As(err, &t) || x.view.Load() != nil {
+	if !errors.As(err, &t) || x.heldLease() {
 		return
 	}
 	unknown := t.Code() == twirp.InvalidArgument && x.config.version() > 0
@@ -79,6 +79,13 @@
 	}
 }
 
+// heldLease tells whether the entry ever held a lease.
+func (x *Entry) heldLease() bool {
+	x.lease.mu.Lock()
+	defer x.lease.mu.Unlock()
+	return x.lease.grant != 0
+}
+
 // refuse stops the entry for good; Refused tells why.
 func (x *Entry) refuse(err error) {
 	select {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -84,6 +84,8 @@
 	report *eelpb.TargetReport
 	heard  time.Duration
 	owner  model.VMID
+	// next is the VM that gets the target once the owner let go.
+	next model.VMID
 	// leavingIn is the first grant that no longer named the target to its owner, or 0.
 	leavingIn uint64
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -323,3 +323,35 @@
 	send("a", func(q *eelpb.RenewRequest) { q.SeenGrant, q.Leaving = r.Grant, true })
 	assert.Equal(t, len(send("b", func(*eelpb.RenewRequest) {}).Owned), 1, "a has let go")
 }
+
+// Two VMs of a failure domain share its sites, and the sites then stay where they are.
+func TestSitesSettle(t *testing.T) {
+	g, c := New(Options{}, 0, 1), catalogue(t)
+	var targets []*eelpb.TargetReport
+	for i, s := range []string{"registry", "registry", "registry", "archive", "archive"} {
+		targets = append(targets, &eelpb.TargetReport{
+			Id: fmt.Sprintf("t%d", i), Service: s, FailureDomain: "attiki-a", Slots: 3, Ready: true,
+		})
+	}
+	held, seen := map[string][]string{}, map[string]uint64{}
+	moves := 0
+	for i := range 60 {
+		for _, id := range []string{"a", "b"} {
+			q := renewal(id)
+			q.Targets, q.Held, q.SeenGrant = targets, held[id], seen[id]
+			r, err := g.Renew(q, c, time.Minute+time.Duration(i)*time.Millisecond)
+			assert.NilError(t, err)
+			before := len(held[id])
+			held[id], seen[id] = nil, r.Grant
+			for _, o := range r.Owned {
+				held[id] = append(held[id], o.Id)
+			}
+			if i > 10 && len(held[id]) != before {
+				moves++
+			}
+		}
+	}
+	assert.Equal(t, moves, 0, "sites move for ever")
+	assert.Assert(t, len(held["a"]) > 0 && len(held["b"]) > 0, "%v", held)
+	assert.Equal(t, len(held["a"])+len(held["b"]), len(targets))
+}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -155,9 +155,19 @@
 	}
 }
 
-// Remove takes a replica out of the group.
+// Remove takes a replica out of the group, once the voters that remain have
+// answered after the call: a replica that fell silent just now must not count.
 func (n *Node) Remove(ctx context.Context, id raft.ReplicaID) error {
-	return n.change(ctx, func() (raft.Index, error) { return n.r.Remove(id) })
+	since := n.Now()
+	for {
+		err := n.change(ctx, func() (raft.Index, error) { return n.r.Remove(id, since) })
+		if !fault.Is(err, raft.KindUnsafe) || n.Now() > since+raft.DefaultElectionTimeout {
+			return err
+		}
+		if err := sleep(ctx, catchUpPoll); err != nil {
+			return err
+		}
+	}
 }
 
 // Replace takes out the former incarnation of a replica and admits the present one.
--- a/internal/node/wipe_test.go
+++ b/internal/node/wipe_test.go
@@ -58,7 +58,7 @@
 // replace admits a host's new disk in the place of its old one.
 func (s *sim) replace(h *host) {
 	id := h.id
-	s.change(func(r *raft.Raft) (raft.Index, error) { return r.Remove(id) })
+	s.change(func(r *raft.Raft) (raft.Index, error) { return r.Remove(id, 0) })
 	m := &eelpb.Member{Id: uint64(id), Incarnation: h.n.identity.Incarnation, Addr: fmt.Sprint(id)}
 	s.change(func(r *raft.Raft) (raft.Index, error) { return r.AddLearner(m) })
 	s.change(func(r *raft.Raft) (raft.Index, error) { return r.Promote(id) })
--- a/internal/pool/member.go
+++ b/internal/pool/member.go
@@ -153,6 +153,17 @@
 	p.Own(nil)
 }
 
+// Load returns the requests in progress and those that wait.
+func (p *Pool) Load() int {
+	n := p.InFlight()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.queues {
+		n += len(q)
+	}
+	return n
+}
+
 // InFlight returns the requests in progress.
 func (p *Pool) InFlight() int {
 	p.mu.Lock()
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -49,6 +49,9 @@
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 5 * time.Second
 	shedBackoff  = 50 * time.Millisecond
+	// cancelHold is how long a slot stays taken after its request was cancelled,
+	// since the target hears of it later.
+	cancelHold = 100 * time.Millisecond
 )
 
 // Result is how a dispatch ended.
@@ -112,6 +115,8 @@
 	Deadline time.Duration
 	// MaxWait bounds the time in the queue; 0 means until the deadline.
 	MaxWait time.Duration
+	// AdmitWait bounds the expected wait at which the request is admitted; 0 means until the deadline.
+	AdmitWait time.Duration
 	// MaxQueued bounds how many requests of the priority wait.
 	MaxQueued int
 	// Domain restricts the choice to a failure domain; empty means any.
@@ -120,6 +125,11 @@
 	Not model.TargetID
 }
 
+// over tells whether an expected wait is longer than the request may wait.
+func (a Ask) over(w time.Duration) bool {
+	return a.MaxWait > 0 && w > a.MaxWait || a.AdmitWait > 0 && w > a.AdmitWait
+}
+
 type waiter struct {
 	ask   Ask
 	ready chan *Slot
@@ -185,22 +195,46 @@
 	return min(m.t.Slots, 1+int(float64(m.t.Slots)*float64(since)/float64(m.rampFor)))
 }
 
+// Ticket is a place in the queue, or a slot that was free at once.
+type Ticket struct {
+	p    *Pool
+	slot *Slot
+	w    *waiter
+	from time.Duration
+}
+
 // Acquire returns a slot, waiting for one if the answer can still be in time.
 func (p *Pool) Acquire(ctx context.Context, a Ask) (*Slot, error) {
+	t, err := p.Enter(a)
+	if err != nil {
+		return nil, err
+	}
+	return t.Wait(ctx)
+}
+
+// Enter admits a request or refuses it at once.
+func (p *Pool) Enter(a Ask) (*Ticket, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	now := p.o.Clock()
-	if s := p.pick(a, now); s != nil && p.nobodyAhead(a) {
-		p.mu.Unlock()
-		return s, nil
-	} else if s != nil {
-		p.giveBack(s)
+	if p.nobodyAhead(a) {
+		if s := p.pick(a, now); s != nil {
+			return &Ticket{p: p, slot: s}, nil
+		}
 	}
 	w, err := p.enqueue(a, now)
-	p.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
-	return p.await(ctx, w, now)
+	return &Ticket{p: p, w: w, from: now}, nil
+}
+
+// Wait returns the slot once it is the ticket's turn.
+func (t *Ticket) Wait(ctx context.Context) (*Slot, error) {
+	if t.slot != nil {
+		return t.slot, nil
+	}
+	return t.p.await(ctx, t.w, t.from)
 }
 
 func (p *Pool) nobodyAhead(a Ask) bool {
@@ -221,7 +255,7 @@
 	if len(p.queues[a.Priority]) >= a.MaxQueued {
 		return nil, fault.Newf(op, KindFull, "%d requests wait already", a.MaxQueued)
 	}
-	if w := p.wait(a.Priority, total); now+w+time.Duration(p.service) > a.Deadline || a.MaxWait > 0 && w > a.MaxWait {
+	if w := p.wait(a.Priority, total); now+w+time.Duration(p.service) > a.Deadline || a.over(w) {
 		return nil, fault.Newf(op, KindLate, "the wait would be %s", w)
 	}
 	w := &waiter{ask: a, ready: make(chan *Slot, 1)}
@@ -342,6 +376,14 @@
 
 // Done gives the slot back with how the dispatch ended and how long it took.
 func (s *Slot) Done(r Result, took time.Duration) {
+	if r == Cancelled {
+		time.AfterFunc(cancelHold, func() { s.finish(r, took) })
+		return
+	}
+	s.finish(r, took)
+}
+
+func (s *Slot) finish(r Result, took time.Duration) {
 	p := s.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"time"
+
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
 	"google.golang.org/protobuf/proto"
@@ -38,9 +40,9 @@
 	return r.changeMembers(next), nil
 }
 
-// Remove takes a replica out of the group. It is refused while the voters that
-// remain and answer are no quorum.
-func (r *Raft) Remove(id ReplicaID) (Index, error) {
+// Remove takes a replica out of the group. It is refused unless a quorum of the
+// voters that remain has followed messages that this leader sent since a time.
+func (r *Raft) Remove(id ReplicaID, since time.Duration) (Index, error) {
 	const op = "raft.Remove"
 	if err := r.mayChange(op); err != nil {
 		return 0, err
@@ -54,20 +56,21 @@
 	if len(next.Members) == len(r.members.Members) {
 		return 0, fault.Newf(op, KindUnknown, "replica %d is not a member", id)
 	}
-	if live, voters := r.liveVoters(next); live <= voters/2 {
+	if live, voters := r.liveVoters(next, since); live <= voters/2 {
 		return 0, fault.Newf(op, KindUnsafe, "only %d of the %d voters that would remain answer", live, voters)
 	}
 	return r.changeMembers(next), nil
 }
 
-func (r *Raft) liveVoters(s *eelpb.Membership) (live, voters int) {
+func (r *Raft) liveVoters(s *eelpb.Membership, since time.Duration) (live, voters int) {
 	for _, m := range s.Members {
 		if !m.Voter {
 			continue
 		}
 		voters++
 		id := ReplicaID(m.Id)
-		if id == r.c.ID || r.progress[id].acked+r.c.ElectionTimeout > r.now {
+		p := r.progress[id]
+		if id == r.c.ID || p.replied && p.acked >= since {
 			live++
 		}
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -122,9 +122,11 @@
 }
 
 type progress struct {
-	match    Index
-	next     Index
-	acked    time.Duration
+	match Index
+	next  Index
+	acked time.Duration
+	// replied says that the replica has followed this leader.
+	replied  bool
 	snapSent time.Duration
 	snap     Index
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -165,9 +165,9 @@
 	}{
 		{"add a member again", func() error { _, err := r.AddLearner(&eelpb.Member{Id: 2}); return err }, KindUnsafe},
 		{"promote a stranger", func() error { _, err := r.Promote(9); return err }, KindUnknown},
-		{"remove a stranger", func() error { _, err := r.Remove(9); return err }, KindUnknown},
-		{"remove a live voter while another is silent", func() error { _, err := r.Remove(2); return err }, KindUnsafe},
-		{"remove the silent voter", func() error { _, err := r.Remove(3); return err }, ""},
+		{"remove a stranger", func() error { _, err := r.Remove(9, now); return err }, KindUnknown},
+		{"remove a live voter while another is silent", func() error { _, err := r.Remove(2, now); return err }, KindUnsafe},
+		{"remove the silent voter", func() error { _, err := r.Remove(3, now); return err }, ""},
 		{"change while another is pending", func() error { _, err := r.AddLearner(&eelpb.Member{Id: 4}); return err }, KindPending},
 	}
 	for _, tt := range tests {
@@ -181,3 +181,13 @@
 		})
 	}
 }
+
+// A leader that was just elected has heard of no one but those who followed it
+// since: a removal must not count the others as answering.
+func TestRemoveRightAfterElection(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 1}, 1)
+	lead(t, r)
+	follows(r, 3, long, long)
+	_, err := r.Remove(1, long)
+	assert.Assert(t, fault.Is(err, KindUnsafe), "replica 3 has not answered yet: %v", err)
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -209,6 +209,7 @@
 	if t := findMember(r.members, from); t.Incarnation != m.FromIncarnation {
 		return
 	}
+	p.replied = true
 	p.acked = max(p.acked, time.Duration(m.SentAt))
 	if m.Reject {
 		p.next = max(min(p.next-1, Index(m.Hint)+1), p.match+1)
--- /dev/null
+++ b/internal/round/round.go
@@ -0,0 +1,237 @@
+// Package round measures a deployment at a firm's size of today under a load,
+// against a single queue that knows everything.
+//
+// # Usage
+//
+//	r, err := round.Run(ctx, round.Options{Firm: round.Kalogeropoulos, Load: 0.8, Length: 10 * time.Second, Dir: dir})
+//
+// All processes run in one, over a relay with the firm's delays. The load is a
+// part of the capacity, which is slots over service time.
+package round
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/examples"
+	"github.com/eelgrassroad/eelgrassroad/internal/demo"
+	"github.com/eelgrassroad/eelgrassroad/internal/fakes"
+	"github.com/eelgrassroad/eelgrassroad/internal/group"
+	"github.com/eelgrassroad/eelgrassroad/pkg/caller"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/go-kit/log"
+)
+
+// secondLoad is the load of a firm's second service, whatever the load of the first.
+const secondLoad = 0.5
+
+// Share is a class's part of its service's load.
+type Share struct {
+	Service  model.ServiceID
+	Class    model.ClassID
+	Part     float64
+	Deadline time.Duration
+}
+
+// Firm is a firm's deployment of today.
+type Firm struct {
+	Name    string
+	File    []byte
+	Entries int
+	Slots   int
+	Targets map[model.ServiceID]int
+	Shares  []Share
+}
+
+// Kalogeropoulos has 10 entries, 16 registry targets and 12 archive targets with 3 slots each.
+var Kalogeropoulos = Firm{
+	Name: "kalogeropoulos", File: examples.Kalogeropoulos, Entries: 10, Slots: 3,
+	Targets: map[model.ServiceID]int{"registry": 16, "archive": 12},
+	Shares: []Share{
+		{"registry", "lookup", 0.9, 2 * time.Second}, {"registry", "issue", 0.1, 10 * time.Second},
+		{"archive", "query", secondLoad, 10 * time.Second},
+	},
+}
+
+// AmabuyeMeza has 10 entries, 20 booking targets and 12 registry targets with 4 slots each.
+var AmabuyeMeza = Firm{
+	Name: "amabuye-meza", File: examples.AmabuyeMeza, Entries: 10, Slots: 4,
+	Targets: map[model.ServiceID]int{"booking": 20, "registry": 12},
+	Shares: []Share{
+		{"booking", "calendar", 0.9, 3 * time.Second}, {"booking", "reserve", 0.1, 10 * time.Second},
+		{"registry", "confirm", secondLoad, 5 * time.Second},
+	},
+}
+
+// Options are the settings of a round.
+type Options struct {
+	Firm   Firm
+	Load   float64
+	Length time.Duration
+	Seed   uint64
+	Dir    string
+	Net    int
+	// ServiceTime is the mean of the targets' exponential service times.
+	ServiceTime time.Duration
+	AnswerBytes int
+	Resends     int
+	// Algorithm overrides that of all policies.
+	Algorithm model.Algorithm
+	// Fault is what the first target does from a third of the round on.
+	Fault fakes.Fault
+	// DrainRegion is drained from a third of the round on.
+	DrainRegion model.RegionID
+	Log         log.Logger
+}
+
+// Result is what a round measured.
+type Result struct {
+	Firm    string  `json:"firm"`
+	Load    float64 `json:"load"`
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	// Service capacity in requests a second.
+	Capacity map[model.ServiceID]float64 `json:"capacityPerSecond"`
+	Classes  []Class                     `json:"classes"`
+	// Goodput is the answers in time by service, as a part of the capacity.
+	Goodput map[model.ServiceID]float64 `json:"goodput"`
+	// RegionHeadroom is the least spare part of each region's slots.
+	RegionHeadroom map[model.RegionID]float64 `json:"regionHeadroom"`
+	// LinkHeadroom is the least spare part of each link in any second.
+	LinkHeadroom map[string]float64 `json:"linkHeadroom"`
+	MaxInFlight  int64              `json:"maxInFlightPerTarget"`
+}
+
+// Class is what happened to a class, beside what the ideal queue would have done.
+type Class struct {
+	fakes.ClassResult
+	// Ideal latencies are those of the single queue, with the callers' way there and back.
+	IdealP50 float64 `json:"idealP50Millis"`
+	IdealP99 float64 `json:"idealP99Millis"`
+}
+
+// Run starts a deployment, sends the load and measures.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	d, err := start(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	r, err := measure(ctx, d, o)
+	if e := d.Close(); err == nil {
+		err = e
+	}
+	return r, err
+}
+
+func start(ctx context.Context, o Options) (*demo.Deployment, error) {
+	objects, err := model.Parse(o.Firm.File)
+	if err != nil {
+		return nil, err
+	}
+	if o.Algorithm != "" {
+		for i, x := range objects {
+			if x.Kind == model.ObjectPolicy {
+				p := fmt.Sprintf("{\"service\":%q,\"algorithm\":%q,\"weight\":100}", serviceOf(x), o.Algorithm)
+				objects[i].Spec = []byte(p)
+			}
+		}
+	}
+	return demo.New(ctx, demo.Options{
+		Objects: objects, Dir: o.Dir, Net: o.Net, Entries: o.Firm.Entries, Targets: o.Firm.Targets, Slots: o.Firm.Slots,
+		ServiceTime: o.ServiceTime, AnswerBytes: o.AnswerBytes, Log: o.Log,
+	})
+}
+
+func (o Options) capacity(s model.ServiceID) float64 {
+	return float64(o.Firm.Targets[s]*o.Firm.Slots) / o.ServiceTime.Seconds()
+}
+
+func (o Options) streams() []fakes.Stream {
+	out := make([]fakes.Stream, 0, len(o.Firm.Shares))
+	for _, s := range o.Firm.Shares {
+		load := o.Load
+		if s.Service != o.Firm.Shares[0].Service {
+			load = 1
+		}
+		out = append(out, fakes.Stream{
+			Service: s.Service, Class: s.Class, PerSecond: s.Part * load * o.capacity(s.Service),
+			Deadline: s.Deadline, Resends: o.Resends,
+		})
+	}
+	return out
+}
+
+func measure(ctx context.Context, d *demo.Deployment, o Options) (*Result, error) {
+	room := demo.NewHeadroom(d)
+	g := group.New(ctx)
+	g.Every(time.Second/20, func(context.Context) { room.Look() })
+	g.Go(func(ctx context.Context) error { return disturb(ctx, d, o) })
+	clients := d.Callers()
+	streams := o.streams()
+	from := time.Now()
+	list := fakes.Load(ctx, fakes.LoadOptions{Seed: o.Seed, Length: o.Length, Streams: streams, Clients: clients, Prefix: "round"})
+	closeAll(clients)
+	if err := g.Close(); err != nil {
+		return nil, err
+	}
+	r := &Result{
+		Firm: o.Firm.Name, Load: o.Load, Seed: o.Seed, Seconds: time.Since(from).Seconds(),
+		Capacity: map[model.ServiceID]float64{}, Goodput: map[model.ServiceID]float64{},
+		RegionHeadroom: room.Least(), LinkHeadroom: linkHeadroom(d),
+	}
+	for i, c := range list {
+		s := streams[i]
+		r.Capacity[s.Service] = o.capacity(s.Service)
+		in := float64(c.Outcomes[wire.Answered]-c.Late) / o.Length.Seconds()
+		r.Goodput[s.Service] += in / o.capacity(s.Service)
+		k := Class{ClassResult: c}
+		k.IdealP50, k.IdealP99 = o.ideal(s.Service, i)
+		r.Classes = append(r.Classes, k)
+	}
+	for _, t := range d.Targets {
+		r.MaxInFlight = max(r.MaxInFlight, t.Stats().MaxInFlight)
+	}
+	return r, nil
+}
+
+func closeAll(clients []*caller.Client) {
+	for _, c := range clients {
+		c.Close()
+	}
+}
+
+// disturb does what the round is about after a third of its length.
+func disturb(ctx context.Context, d *demo.Deployment, o Options) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-time.After(o.Length / 3):
+	}
+	if o.Fault != fakes.FaultNone {
+		d.Targets[0].SetFault(o.Fault)
+	}
+	if o.DrainRegion == "" {
+		return nil
+	}
+	cat, err := d.Admin.Catalogue(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = d.Admin.Change(ctx, wire.Change{ChangeID: "round-drain", BaseVersion: cat.Version, Put: []model.Object{{
+		Kind: model.ObjectDrain, Name: "round", Owner: "admin", Spec: fmt.Appendf(nil, "{\"region\":%q}", o.DrainRegion),
+	}}})
+	return err
+}
+
+func linkHeadroom(d *demo.Deployment) map[string]float64 {
+	out := map[string]float64{}
+	for p, n := range d.Net.MostPerSecond() {
+		l, ok := d.Catalogue().Link(model.RegionID(p.From), model.RegionID(p.To))
+		if ok {
+			out[p.From+" to "+p.To] = 1 - float64(n)/float64(l.BytesPerSecond)
+		}
+	}
+	return out
+}
--- a/internal/script/cmds_test.go
+++ b/internal/script/cmds_test.go
@@ -34,7 +34,7 @@
 		"fault": cmdFault, "call": printing((*deployment).call), "ctl": printing((*deployment).ctl),
 		"leader": printing((*deployment).leader), "get": printing((*deployment).get1),
 		"load": cmdLoad, "loadwait": cmdLoadWait, "expect": cmdExpect, "never": cmdNever, "sleep": cmdSleep, "check": cmdCheck, "drain": cmdDrain,
-		"old": cmdOld, "changes": cmdChanges, "race": cmdRace, "logsize": cmdLogSize,
+		"old": cmdOld, "changes": cmdChanges, "race": cmdRace, "exits": cmdExits, "twin": cmdTwin, "logsize": cmdLogSize,
 	}
 }
 
@@ -62,7 +62,11 @@
 
 func cmdState(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "state N")
-	ts.Check(of(ts).addStates(number(ts, args[0])))
+	d := of(ts)
+	ts.Check(d.addStates(number(ts, args[0])))
+	for i, r := range d.replicas {
+		ts.Setenv(fmt.Sprintf("STATE%d", i+1), r)
+	}
 }
 
 func cmdEntry(ts *testscript.TestScript, _ bool, args []string) {
--- a/internal/script/doc.go
+++ b/internal/script/doc.go
@@ -22,6 +22,8 @@
 //	changes N                      make N changes of the catalogue
 //	race N                         let four operators race with equal versions, N times
 //	drain TARGET                   tell a fake target to leave
+//	exits NAME CODE REGEXP         wait until a process ends by itself, and check its log
+//	twin NAME                      start a second entry with the same id
 //	logsize BYTES                  fail if a replica's folder is larger
 //	get NAME PATH                  print what a process answers; NAME may be leader or old
 //	wipe NAME                      remove a stopped process's data folder
--- a/internal/script/script_test.go
+++ b/internal/script/script_test.go
@@ -50,6 +50,7 @@
 		Dir: "testdata",
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("EXAMPLES", examples)
+			e.Setenv("PATH", binaries+string(os.PathListSeparator)+os.Getenv("PATH"))
 			d := newDeployment(e.WorkDir)
 			e.Values[deploymentKey{}] = d
 			e.Defer(d.close)
--- a/internal/script/state_test.go
+++ b/internal/script/state_test.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
 	"github.com/eelgrassroad/eelgrassroad/pkg/admin"
@@ -24,6 +27,48 @@
 	d.old = p.name
 }
 
+// cmdExits waits until a process ends by itself: exits NAME CODE REGEXP.
+func cmdExits(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 3, "exits NAME CODE REGEXP")
+	d := of(ts)
+	p, err := d.get(args[0])
+	ts.Check(err)
+	select {
+	case <-p.done:
+	case <-time.After(exitLimit):
+		ts.Fatalf("%s has not ended within %s", args[0], exitLimit)
+	}
+	p.done = nil
+	b, err := os.ReadFile(filepath.Join(d.dir, args[0]+".log"))
+	ts.Check(err)
+	if got := p.cmd.ProcessState.ExitCode(); got != number(ts, args[1]) {
+		ts.Fatalf("%s ended with code %d:\n%s", args[0], got, b)
+	}
+	if !regexp.MustCompile(args[2]).Match(b) {
+		ts.Fatalf("log of %s does not match %q:\n%s", args[0], args[2], b)
+	}
+}
+
+// exitLimit is how long a process may take to find that it can not run.
+const exitLimit = 20 * time.Second
+
+// cmdTwin starts a second entry with the id of another: twin NAME.
+func cmdTwin(ts *testscript.TestScript, _ bool, args []string) {
+	need(ts, args, 1, "twin NAME")
+	d := of(ts)
+	p, err := d.get(args[0])
+	ts.Check(err)
+	ip := d.ip(4, 1)
+	var rest []string
+	for i, a := range p.args {
+		if a == "--listen" {
+			rest = p.args[:i]
+			break
+		}
+	}
+	ts.Check(d.add(args[0]+"-twin", p.program, ip, slices.Clone(rest)...))
+}
+
 // cmdDrain tells a fake target to leave, whatever reaches the entries.
 func cmdDrain(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 1, "drain TARGET")
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -209,7 +209,8 @@
 	defer cancel()
 	list, err := c.Entries(ctx)
 	if err != nil {
-		return Answer{Outcome: wire.NotRun, Reason: err.Error(), Took: time.Since(from)}, nil
+		// An earlier call with the same id may have run.
+		return Answer{Outcome: wire.Unknown, Reason: err.Error(), Took: time.Since(from)}, nil
 	}
 	tried := map[string]bool{}
 	last := Answer{Outcome: wire.Unknown, Reason: "no entry answered"}
