Never call a request refused that an earlier site may have run

Cause: a lookup whose first target broke off and whose second refused was answered notRun though it ran; found when Script/shift failed its check that no lookup runs twice. That check was wrong, since idempotent requests may run again (a trace showed a retry after a crash); it is replaced by the check that what was told notRun did not run. Excluded: claims, which lookups do not have. Shown failing: Script/truth fails with the guard removed. Conclusion: Script/truth and Script/shift pass.

--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -128,9 +128,19 @@
 	return n, nil
 }
 
-// steer sends a request to one site after the other, within the retry budget,
-// until one answers or none is left.
+// steer sends a request to sites until one answers. A request that one of them
+// may have run is not called refused because a later one refused it.
 func (x *Entry) steer(ctx context.Context, v *view, j *job) verdict {
+	r := x.trySites(ctx, v, j)
+	if r.kind == verdictRefused && j.mayHaveRun {
+		return broken("a site broke off, and then: %s", r.reason).with(r)
+	}
+	return r
+}
+
+// trySites sends a request to one site after the other, within the retry
+// budget, until one answers or none is left.
+func (x *Entry) trySites(ctx context.Context, v *view, j *job) verdict {
 	if !x.valid() {
 		return refused(defaultRetryAfter, "entry holds no lease")
 	}
@@ -153,6 +163,7 @@
 		}
 		r := x.try(ctx, j, s, p)
 		j.try++
+		j.mayHaveRun = j.mayHaveRun || r.kind == verdictBroken
 		if !x.again(ctx, j, r) {
 			return r
 		}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -26,6 +26,8 @@
 	deadline time.Duration
 	// try counts the dispatches of one attempt.
 	try uint64
+	// mayHaveRun says that a try ended without an answer.
+	mayHaveRun bool
 }
 
 // atMostOnce tells whether the request needs a claim.
