--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -54,36 +54,12 @@
 	cancelHold = 100 * time.Millisecond
 )
 
-// Result is how a dispatch ended.
-type Result int
-
-// The results of a dispatch.
-const (
-	Good Result = iota
-	Shed
-	Broken
-	Cancelled
-)
-
 // Options are the settings of a pool.
 type Options struct {
 	Service model.ServiceID
 	Clock   func() time.Duration
 }
 
-// Target is a target as its announcements and the grants describe it.
-type Target struct {
-	ID          model.TargetID
-	Addr        string
-	Domain      model.FailureDomainID
-	Slots       int
-	Incarnation uint64
-	Ready       bool
-	Draining    bool
-	// HeardAt is when the announcement was made, at the latest.
-	HeardAt time.Duration
-}
-
 type member struct {
 	t        Target
 	owned    bool
@@ -161,23 +137,6 @@
 	p.warmUp = d
 }
 
-// Slot is the right to have one request in progress at a target.
-type Slot struct {
-	p *Pool
-	m *member
-	t Target
-}
-
-// Target returns the target of the slot.
-func (s *Slot) Target() Target { return s.t }
-
-// Usable tells whether the target may still get new work.
-func (s *Slot) Usable() bool {
-	s.p.mu.Lock()
-	defer s.p.mu.Unlock()
-	return s.m.open(s.p.o.Clock()) && s.m.t.Incarnation == s.t.Incarnation
-}
-
 // open tells whether the target may get new work at all.
 func (m *member) open(now time.Duration) bool {
 	return m.owned && !m.drained && m.t.Ready && !m.t.Draining && now < m.t.HeardAt+announcementLife
@@ -370,41 +329,6 @@
 	}
 }
 
-func (p *Pool) giveBack(s *Slot) {
-	s.m.inFlight--
-}
-
-// Done gives the slot back with how the dispatch ended and how long it took.
-func (s *Slot) Done(r Result, took time.Duration) {
-	if r == Cancelled {
-		time.AfterFunc(cancelHold, func() { s.finish(r, took) })
-		return
-	}
-	s.finish(r, took)
-}
-
-func (s *Slot) finish(r Result, took time.Duration) {
-	p := s.p
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.giveBack(s)
-	now := p.o.Clock()
-	switch r {
-	case Good:
-		s.m.observe(took)
-		p.service += smoothing * (float64(took) - p.service)
-	case Shed:
-		s.m.outUntil = now + shedBackoff
-	case Broken:
-		s.m.backoff = min(maxBackoff, max(firstBackoff, 2*s.m.backoff))
-		s.m.outUntil = now + s.m.backoff
-	case Cancelled:
-		s.m.observe(took)
-	}
-	s.m.checkDrained(now)
-	p.serve()
-}
-
 func (m *member) observe(took time.Duration) {
 	m.backoff = 0
 	m.latency += smoothing * (float64(took) - m.latency)
@@ -415,12 +339,3 @@
 		m.drainFor = max(1, now-m.drainAt)
 	}
 }
-
-// Release gives a slot back that nothing was dispatched with.
-func (s *Slot) Release() {
-	s.p.mu.Lock()
-	defer s.p.mu.Unlock()
-	s.p.giveBack(s)
-	s.m.checkDrained(s.p.o.Clock())
-	s.p.serve()
-}
--- /dev/null
+++ b/internal/round/bench_test.go
@@ -0,0 +1,60 @@
+package round
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/demo"
+	"github.com/eelgrassroad/eelgrassroad/pkg/caller"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// BenchmarkOverhead compares an uncontended look-up by an entry with the same
+// call straight to the target, in turn, over the same relay.
+func BenchmarkOverhead(b *testing.B) {
+	ctx := context.Background()
+	objects, err := model.Parse(Kalogeropoulos.File)
+	assert.NilError(b, err)
+	d, err := demo.New(ctx, demo.Options{
+		Objects: objects, Dir: b.TempDir(), Net: 7, Entries: 1, Slots: 3, ServiceTime: time.Millisecond,
+		Targets: map[model.ServiceID]int{"registry": 1}, Log: log.NewNopLogger(),
+	})
+	assert.NilError(b, err)
+	c := d.Callers()[0]
+	var straight, steered []time.Duration
+	for i := 0; b.Loop(); i++ {
+		straight = append(straight, callTarget(b, d.Targets[0].Addr(), i))
+		from := time.Now()
+		a, err := c.Do(ctx, caller.Request{Service: "registry", Class: "lookup"})
+		assert.NilError(b, err)
+		assert.Equal(b, a.Outcome, wire.Answered, a.Reason)
+		steered = append(steered, time.Since(from))
+	}
+	slices.Sort(straight)
+	slices.Sort(steered)
+	b.ReportMetric(float64(straight[len(straight)/2].Microseconds()), "us-straight-p50")
+	b.ReportMetric(float64(steered[len(steered)/2].Microseconds()), "us-steered-p50")
+	c.Close()
+	assert.NilError(b, d.Close())
+}
+
+func callTarget(b *testing.B, addr string, i int) time.Duration {
+	from := time.Now()
+	q, err := http.NewRequest(http.MethodGet, "http://"+addr+"/", nil)
+	assert.NilError(b, err)
+	q.Header.Set(wire.HeaderRequestID, fmt.Sprintf("straight-%d", i))
+	res, err := http.DefaultClient.Do(q)
+	assert.NilError(b, err)
+	_, err = io.Copy(io.Discard, res.Body)
+	assert.NilError(b, err)
+	assert.NilError(b, res.Body.Close())
+	return time.Since(from)
+}
