Prove that a link never carries more than its capacity

Cause: the bound of a link under load had no proof. Change: the relay counts bytes between regions; Script/link loses a region under large answers over links of 400,000 bytes a second. A twentieth of each link is kept for control, which the shares do not count. Conclusion: the bound holds for requests and answers; control is not metered.

--- a/internal/lease/share.go
+++ b/internal/lease/share.go
@@ -8,6 +8,9 @@
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 )
 
+// controlPart divides a link to give what is kept free for control.
+const controlPart = 20
+
 // idleDemand is the demand that a VM without any is counted with, as a part of the capacity.
 const idleDemand = 50
 
@@ -57,8 +60,9 @@
 func capacities(c *model.Catalogue) map[string]int64 {
 	m := make(map[string]int64, 2*len(c.Links)+len(c.Caps))
 	for _, l := range c.Links {
-		m[LinkResource(l.Regions[0], l.Regions[1])] = int64(l.BytesPerSecond)
-		m[LinkResource(l.Regions[1], l.Regions[0])] = int64(l.BytesPerSecond)
+		n := int64(l.BytesPerSecond) - int64(l.BytesPerSecond)/controlPart
+		m[LinkResource(l.Regions[0], l.Regions[1])] = n
+		m[LinkResource(l.Regions[1], l.Regions[0])] = n
 	}
 	for _, s := range c.Caps {
 		m[CapResource(s.Name)] = s.PerSecond
--- a/internal/script/check_test.go
+++ b/internal/script/check_test.go
@@ -63,6 +63,8 @@
 		checkSlots(ts, runs, number(ts, args[1]))
 	case "shift":
 		checkShift(ts, runs, number(ts, args[1]))
+	case "link":
+		checkLink(ts, int64(number(ts, args[1])), int64(number(ts, args[2])))
 	case "cut":
 		checkCut(ts, endings(ts))
 	default:
@@ -170,6 +172,19 @@
 	}
 }
 
+// checkLink checks the most bytes that passed between two regions in a second,
+// and that the link was used at all.
+func checkLink(ts *testscript.TestScript, least, most int64) {
+	worst := int64(0)
+	for p, n := range of(ts).net.MostPerSecond() {
+		ts.Logf("%s to %s: at most %d bytes in a second", p.From, p.To, n)
+		worst = max(worst, n)
+	}
+	if worst > most || worst < least {
+		ts.Fatalf("a link carried %d bytes in a second, not %d to %d", worst, least, most)
+	}
+}
+
 func checkCut(ts *testscript.TestScript, ends []fakes.Ending) {
 	for _, e := range ends {
 		if e.Outcome == wire.Unknown {
--- a/internal/script/deploy_test.go
+++ b/internal/script/deploy_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -61,13 +62,20 @@
 	loads    map[string]*load
 	// old is the leader that a scenario has frozen or cut off.
 	old string
+	// regions are the regions of entries and targets by IP number.
+	regions sync.Map
 }
 
 func newDeployment(dir string) *deployment {
-	o := 16 + (int64(os.Getpid())*13+scenarios.Add(1))%200
-	return &deployment{
-		dir: dir, octet: o, net: relay.New(), procs: map[string]*process{}, loads: map[string]*load{},
-	}
+	n := relay.New()
+	d := &deployment{dir: dir, net: n, procs: map[string]*process{}, loads: map[string]*load{}}
+	n.SetZone(func(host string) string {
+		r, _ := d.regions.Load(host)
+		s, _ := r.(string)
+		return s
+	})
+	d.octet = 16 + (int64(os.Getpid())*13+scenarios.Add(1))%200
+	return d
 }
 
 func (d *deployment) close() {
@@ -195,6 +203,7 @@
 func (d *deployment) addEntry(name, domain string, extra ...string) error {
 	ip := d.ip(2, len(d.entries)+1)
 	d.entries = append(d.entries, name)
+	d.place(ip, domain)
 	args := []string{"--id", name, "--failure-domain", domain, "--list-life", "1s"}
 	for _, r := range d.replicas {
 		args = append(args, "--replica", r)
@@ -205,6 +214,7 @@
 func (d *deployment) addTarget(name, service, domain string, extra ...string) error {
 	ip := d.ip(3, len(d.targets)+1)
 	d.targets = append(d.targets, name)
+	d.place(ip, domain)
 	args := []string{"target", "--id", name, "--service", service, "--failure-domain", domain, "--journal", d.journal()}
 	for _, e := range d.entryAddrs() {
 		args = append(args, "--entry", e)
@@ -212,6 +222,12 @@
 	return d.add(name, "eelfake", ip, append(args, extra...)...)
 }
 
+// place notes the region of a host, which is the first part of its failure domain.
+func (d *deployment) place(ip, domain string) {
+	region, _, _ := strings.Cut(domain, "-")
+	d.regions.Store(ip, region)
+}
+
 func (d *deployment) entryAddrs() []string {
 	var out []string
 	for _, e := range d.entries {
--- a/internal/script/doc.go
+++ b/internal/script/doc.go
@@ -43,6 +43,7 @@
 //	check late MILLIS              no target got work later than that after it began to drain
 //	check slots N                  no target had more requests at once
 //	check shift N                  no second had more than N requests outside their home region
+//	check link LEAST MOST          the fullest second of any link was between these bytes
 //	check cut                      no request of any load ended as unknown
 //
 // Processes run on addresses of 127.0.0.0/8 of the scenario's own and reach
