Hold an answer's rest at its owner; give claims back after callers leave

Reading slowly holds nothing back that the sender wrote already, and expected sizes lagged behind larger answers. (2) A claim taken for a caller that left while queued stayed taken, so its resend got unknown for ever; a late take could also follow the reopen. (3) An escaped path reached the target unescaped. Excluded: control traffic (7 KB/s on that link), the relay's counting. Change: an owner sends what was reserved and keeps the rest, which the front fetches in parts as its share allows; expected sizes follow larger answers at once. Claims are given back on a time of their own, and a reopen fences late takes. Conclusion: the bound of a link no longer depends on expected sizes.

--- a/cmd/eelentry/main.go
+++ b/cmd/eelentry/main.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -89,6 +90,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish(program, expvar.Func(func() any { return x.Metrics() }))
 	ctx, cancel := setup.Signals()
 	defer cancel()
 	h := setup.HTTPServer(x.Handler())
--- a/cmd/eelfake/main.go
+++ b/cmd/eelfake/main.go
@@ -21,6 +21,13 @@
 
 func main() {
 	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	var o struct {
+		Version func() `long:"version" description:"print the version and exit"`
+	}
+	o.Version = func() { setup.PrintVersion(program) }
+	if _, err := p.AddGroup("Settings", "", &o); err != nil {
+		setup.Fatal(program, err)
+	}
 	for _, c := range []struct {
 		name, short string
 		data        any
--- a/cmd/eelstate/main.go
+++ b/cmd/eelstate/main.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -113,6 +114,7 @@
 	if err != nil {
 		return err
 	}
+	expvar.Publish(program, expvar.Func(func() any { return n.Status() }))
 	s, err := server.New(server.Options{
 		Node: n, Key: k, AdminTokenHash: guard.HashToken(o.AdminToken), LeaseLength: o.Lease, Log: l,
 	})
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"cmp"
 	"expvar"
+	"fmt"
 	"hash/fnv"
 	"io"
 	"net/http"
@@ -24,6 +25,7 @@
 	x.e.Any(wire.PathServices+"/:service/:class/*", x.serve)
 	x.e.POST(wire.PathAnnounce, x.announce)
 	x.e.POST(pathHop, x.hopHandler())
+	x.e.POST(pathRest, x.restHandler())
 	x.e.GET(wire.PathBurn, func(c echo.Context) error { return c.JSON(http.StatusOK, x.book.Snapshot()) })
 	x.e.GET(wire.PathVM, func(c echo.Context) error { return c.JSON(http.StatusOK, x.Status()) })
 	for _, p := range []string{wire.PathCatalogue, wire.PathChanges, wire.PathChanges + "/:id", wire.PathStatus, wire.PathReplicas} {
@@ -76,6 +78,21 @@
 	return s
 }
 
+// Metrics is what an entry shows under /debug/vars.
+type Metrics struct {
+	Status
+	Counts map[string]burn.Counts `json:"counts"`
+}
+
+// Metrics returns the entry's state and counts by service, class and policy.
+func (x *Entry) Metrics() Metrics {
+	m := Metrics{Status: x.Status(), Counts: map[string]burn.Counts{}}
+	for _, s := range x.book.Snapshot() {
+		m.Counts[fmt.Sprintf("%s/%s/%s", s.Service, s.Class, s.Policy)] = s.Counts
+	}
+	return m
+}
+
 // OwnedSlots returns how many requests the entry may have in progress at its own targets.
 func (x *Entry) OwnedSlots() int {
 	n := 0
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -33,7 +33,9 @@
 	}
 	done := make(chan claimed, 1)
 	x.g.Go(func(context.Context) error {
-		r, err := x.state.claim(ctx, o)
+		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), j.deadline-x.now())
+		defer cancel()
+		r, err := x.state.claim(late, o)
 		done <- claimed{r, err}
 		return nil
 	})
@@ -43,7 +45,7 @@
 		if err == nil {
 			s.Release()
 		}
-		return x.notTaken(c)
+		return x.notTaken(ctx, o, c)
 	}
 	if err != nil {
 		return x.reopen(ctx, o, err.Error())
@@ -55,9 +57,10 @@
 	return x.dispatchOnce(ctx, j, s, a, o)
 }
 
-func (x *Entry) notTaken(c claimed) verdict {
+func (x *Entry) notTaken(ctx context.Context, o *eelpb.ClaimOp, c claimed) verdict {
 	if c.err != nil {
-		return broken("claim: %v", c.err)
+		// The take may be committed all the same.
+		return x.reopen(ctx, o, c.err.Error())
 	}
 	return x.fromRecord(c.r)
 }
@@ -111,14 +114,33 @@
 	return k
 }
 
-// reopen gives a claim back whose dispatch is proved not to have run.
+// reopenWait is how long a caller's answer waits for a claim to be given back.
+const reopenWait = 500 * time.Millisecond
+
+// reopen gives a claim back whose dispatch is proved not to have run. It goes
+// on when the caller has left or was told unknown, so that a resend can run.
 func (x *Entry) reopen(ctx context.Context, o *eelpb.ClaimOp, reason string) verdict {
-	q := &eelpb.ClaimOp{Kind: eelpb.ClaimKind_CLAIM_REOPEN, RequestId: o.RequestId, Digest: o.Digest, Vm: o.Vm, Token: o.Token}
-	r, err := x.state.claim(ctx, q)
-	if err != nil || !r.Ok {
-		return broken("claim could not be given back after: %s", reason)
+	q := &eelpb.ClaimOp{
+		Kind: eelpb.ClaimKind_CLAIM_REOPEN, RequestId: o.RequestId, Digest: o.Digest, Attempt: o.Attempt, Vm: o.Vm, Token: o.Token,
+	}
+	done := make(chan bool, 1)
+	x.g.Go(func(context.Context) error {
+		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), recordTimeout)
+		defer cancel()
+		r, err := x.state.claim(late, q)
+		done <- err == nil && r.Ok
+		return nil
+	})
+	t := time.NewTimer(reopenWait)
+	defer t.Stop()
+	select {
+	case ok := <-done:
+		if ok {
+			return refused(noTargetWait, "%s", reason)
+		}
+	case <-t.C:
 	}
-	return refused(noTargetWait, "%s", reason)
+	return broken("claim could not be given back after: %s", reason)
 }
 
 // fromRecord says what another dispatch of the request has come to.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,6 +105,7 @@
 	book      *burn.Book
 	turn      atomic.Uint64
 	shifts    shiftMeters
+	rests     rests
 }
 
 // New starts an entry.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -62,7 +63,7 @@
 		return nil, http.StatusNotFound, fmt.Errorf("class %q of service %q does not exist", n, s)
 	}
 	j := &job{service: s, cls: cls, method: q.Method, contentType: q.Header.Get("Content-Type")}
-	j.path = "/" + c.Param("*")
+	j.path = "/" + restOf(q.URL)
 	if q.URL.RawQuery != "" {
 		j.path += "?" + q.URL.RawQuery
 	}
@@ -82,6 +83,16 @@
 	return j, 0, nil
 }
 
+// restOf returns what follows the class in a path, escaped as the caller wrote it.
+func restOf(u *url.URL) string {
+	const before = 5 // "", "v1", "services", service, class
+	parts := strings.SplitN(u.EscapedPath(), "/", before+1)
+	if len(parts) <= before {
+		return ""
+	}
+	return parts[before]
+}
+
 func (x *Entry) readHeaders(j *job, h http.Header, c *model.Catalogue, from time.Duration) error {
 	j.id = model.RequestID(h.Get(wire.HeaderRequestID))
 	if j.id == "" && j.atMostOnce() {
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -37,6 +37,9 @@
 		return refused(0, "hop cannot be made: %v", err)
 	}
 	x.hopHeaders(q.Header, j, s, shifted)
+	if p != nil && p.in != nil {
+		q.Header.Set(headerReserved, strconv.FormatInt(p.reserved, 10))
+	}
 	res, err := x.hop.Do(q)
 	if err != nil {
 		return broken("owner %q: %v", s.VM, err)
@@ -45,10 +48,15 @@
 	if n, err := strconv.ParseInt(res.Header.Get(headerLoad), 10, 32); err == nil {
 		s.Gauge.See(int32(n), x.now())
 	}
-	b, err := io.ReadAll(io.LimitReader(x.paced(ctx, res.Body, p), j.cls.MaxAnswerBytes+headerBytes))
+	b, err := io.ReadAll(io.LimitReader(res.Body, j.cls.MaxAnswerBytes+headerBytes))
 	if err != nil {
 		return broken("answer of owner %q was cut: %v", s.VM, err)
 	}
+	if res.Header.Get(headerRest) != "" {
+		if b, err = x.fetchRest(ctx, s, p, res.Header, b, j.cls.MaxAnswerBytes); err != nil {
+			return broken("rest of the answer of owner %q: %v", s.VM, err)
+		}
+	}
 	return x.readHop(j, res, b)
 }
 
@@ -93,22 +101,22 @@
 	j, a, ok := x.hopJob(r)
 	w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 	if !ok {
-		x.sayHop(w, j, refused(defaultRetryAfter, "owner does not know the class yet"))
+		x.sayHop(w, r, j, refused(defaultRetryAfter, "owner does not know the class yet"))
 		return
 	}
 	b, err := io.ReadAll(r.Body)
 	if err != nil {
-		x.sayHop(w, j, refused(0, "request was cut: %v", err))
+		x.sayHop(w, r, j, refused(0, "request was cut: %v", err))
 		return
 	}
 	j.body = b
 	if !x.valid() {
-		x.sayHop(w, j, refused(defaultRetryAfter, "owner holds no lease"))
+		x.sayHop(w, r, j, refused(defaultRetryAfter, "owner holds no lease"))
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.deadline-x.now())
 	defer cancel()
-	x.sayHop(w, j, x.own(ctx, j, a))
+	x.sayHop(w, r, j, x.own(ctx, j, a))
 }
 
 func (x *Entry) hopJob(r *http.Request) (*job, ownerAsk, bool) {
@@ -135,14 +143,20 @@
 	return j, a, derr == nil && nerr == nil && terr == nil
 }
 
-func (x *Entry) sayHop(w http.ResponseWriter, j *job, v verdict) {
+func (x *Entry) sayHop(w http.ResponseWriter, r *http.Request, j *job, v verdict) {
 	h := w.Header()
+	body := []byte(v.reason)
+	if v.kind == verdictAnswered {
+		var ok bool
+		if body, ok = x.firstPart(h, r.Header.Get(headerReserved), v.answer.body); !ok {
+			v = broken("owner keeps too many answers already")
+			body = []byte(v.reason)
+		}
+	}
 	h.Set(headerVerdict, string(v.kind))
 	h.Set(wire.HeaderTarget, string(v.target))
 	h.Set(headerLoad, strconv.Itoa(x.pools.get(j.service).Load()))
-	body := []byte(v.reason)
 	if v.kind == verdictAnswered {
-		body = v.answer.body
 		h.Set(headerStatus, strconv.Itoa(v.answer.status))
 		h.Set("Content-Type", v.answer.contentType)
 	}
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -184,7 +184,8 @@
 const (
 	// firstAnswerBytes is assumed before an answer of the class was seen.
 	firstAnswerBytes = 4 << 10
-	sizeSmoothing    = 0.1
+	// sizeDecay divides the distance by which an expected size falls with each smaller answer.
+	sizeDecay = 50
 )
 
 func (a *answerSizes) expect(s model.ServiceID, c model.Class) int64 {
@@ -194,9 +195,13 @@
 	return min(firstAnswerBytes, c.MaxAnswerBytes)
 }
 
+// observe follows larger answers at once and smaller ones slowly.
 func (a *answerSizes) observe(s model.ServiceID, c model.Class, n int64) {
 	old := a.expect(s, c)
-	a.m.Store(classKey{s, c.Name}, old+int64(sizeSmoothing*float64(n-old)))
+	if n < old {
+		n = old - (old-n)/sizeDecay
+	}
+	a.m.Store(classKey{s, c.Name}, n)
 }
 
 // shiftMeters count what this VM dispatches under each shift cap as an owner.
--- /dev/null
+++ b/internal/entry/rest.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/labstack/echo/v4"
+)
+
+// An answer that is larger than what its front has reserved of the link is sent
+// in parts: the owner keeps the rest, and the front fetches it as fast as its
+// share of the link allows. What was written to a connection could not be held back.
+const (
+	pathRest       = "/internal/v1/rest"
+	headerReserved = "Eel-Hop-Reserved"
+	headerTotal    = "Eel-Hop-Total"
+	headerRest     = "Eel-Hop-Rest"
+	// restLife is how long an owner keeps the rest of an answer that is not fetched.
+	restLife = 10 * time.Second
+	// maxRests bounds the rests that an owner keeps.
+	maxRests = 4096
+	// restChunk is the least part of a rest that is fetched at once.
+	restChunk = 16 << 10
+)
+
+type rest struct {
+	body  []byte
+	until time.Duration
+}
+
+// rests are the parts of answers that their fronts have not fetched yet.
+type rests struct {
+	mu sync.Mutex
+	m  map[string]*rest
+}
+
+// keep keeps a rest and returns its token, or false where too many are kept.
+func (r *rests) keep(b []byte, now time.Duration) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.m == nil {
+		r.m = map[string]*rest{}
+	}
+	for t, x := range r.m {
+		if now > x.until {
+			delete(r.m, t)
+		}
+	}
+	if len(r.m) >= maxRests {
+		return "", false
+	}
+	t := strconv.FormatUint(rand.Uint64(), 16)
+	r.m[t] = &rest{body: b, until: now + restLife}
+	return t, true
+}
+
+// take returns the next bytes of a rest, at most n.
+func (r *rests) take(token string, n int, now time.Duration) ([]byte, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x, ok := r.m[token]
+	if !ok || now > x.until || n <= 0 {
+		return nil, false
+	}
+	n = min(n, len(x.body))
+	b := x.body[:n]
+	x.body = x.body[n:]
+	if len(x.body) == 0 {
+		delete(r.m, token)
+	}
+	return b, true
+}
+
+// firstPart returns what of an answer goes at once, and announces the rest.
+func (x *Entry) firstPart(h http.Header, reserved string, body []byte) ([]byte, bool) {
+	n, err := strconv.Atoi(reserved)
+	if err != nil || len(body) <= n {
+		return body, true
+	}
+	t, ok := x.rests.keep(body[n:], x.now())
+	if !ok {
+		return nil, false
+	}
+	h.Set(headerRest, t)
+	h.Set(headerTotal, strconv.Itoa(len(body)))
+	return body[:n], true
+}
+
+// restHandler hands out parts of answers to those who have the deployment's key.
+func (x *Entry) restHandler() echo.HandlerFunc {
+	return echo.WrapHandler(x.o.Key.Require(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.Atoi(r.Header.Get(headerReserved))
+		if err != nil {
+			http.Error(w, "header "+headerReserved+" is no number", http.StatusBadRequest)
+			return
+		}
+		b, ok := x.rests.take(r.Header.Get(headerRest), n, x.now())
+		if !ok {
+			http.Error(w, "the rest of the answer is gone", http.StatusGone)
+			return
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+		// A front that is gone is not told.
+		_, _ = w.Write(b)
+	})))
+}
+
+// fetchRest completes the first part of an answer at the pace of the link.
+func (x *Entry) fetchRest(ctx context.Context, s *steer.Site, p *permit, h http.Header, b []byte, most int64) ([]byte, error) {
+	total, err := strconv.Atoi(h.Get(headerTotal))
+	if err != nil || int64(total) > most || p == nil || p.in == nil {
+		return nil, fmt.Errorf("answer of %q bytes cannot be completed", h.Get(headerTotal))
+	}
+	for len(b) < total {
+		n := min(total-len(b), restChunk)
+		if err := x.waitFor(ctx, p, int64(n)+headerBytes); err != nil {
+			return nil, err
+		}
+		part, err := x.fetchPart(ctx, s, h.Get(headerRest), n)
+		if err != nil {
+			return nil, err
+		}
+		b = append(b, part...)
+	}
+	return b, nil
+}
+
+// waitFor takes bytes of the link that answers come over, once its share has room for them.
+func (x *Entry) waitFor(ctx context.Context, p *permit, n int64) error {
+	for !p.in.Take(n, x.now()) {
+		sleep(ctx, max(time.Millisecond, p.in.Wait(n, x.now())))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (x *Entry) fetchPart(ctx context.Context, s *steer.Site, token string, n int) ([]byte, error) {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Addr+pathRest, bytes.NewReader(nil))
+	if err != nil {
+		return nil, err
+	}
+	q.Header.Set(headerRest, token)
+	q.Header.Set(headerReserved, strconv.Itoa(n))
+	res, err := x.hop.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, int64(n)+1))
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK || len(b) != n {
+		return nil, fmt.Errorf("part has %d bytes of %d, status %d", len(b), n, res.StatusCode)
+	}
+	return b, nil
+}
--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/burn"
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
@@ -22,6 +24,16 @@
 	VMs     []vmStatus           `json:"vms"`
 	Targets []lease.TargetStatus `json:"targets"`
 	Claims  int                  `json:"claims"`
+	Regions []regionStatus       `json:"regions"`
+}
+
+// regionStatus is what a region has of targets.
+type regionStatus struct {
+	Region  model.RegionID `json:"region"`
+	Targets int            `json:"targets"`
+	Ready   int            `json:"ready"`
+	Slots   int            `json:"slots"`
+	Drained bool           `json:"drained"`
 }
 
 type vmStatus struct {
@@ -57,6 +69,9 @@
 			return nil, err
 		}
 	}
+	if d.Regions, err = regions(ctx, cl, d.Targets); err != nil {
+		return nil, err
+	}
 	for _, v := range s.VMs {
 		x := vmStatus{VM: v}
 		if b, err := cl.VM(ctx, v.Addr); err == nil {
@@ -70,6 +85,37 @@
 	return d, nil
 }
 
+// regions adds up the targets of each region.
+func regions(ctx context.Context, cl *admin.Client, targets []lease.TargetStatus) ([]regionStatus, error) {
+	cat, err := cl.Catalogue(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c, err := model.NewCatalogue(cat.Version, cat.Objects)
+	if err != nil {
+		return nil, err
+	}
+	var out []regionStatus
+	for _, name := range slices.Sorted(maps.Keys(c.Regions)) {
+		r := regionStatus{Region: name}
+		for _, x := range c.Drains {
+			r.Drained = r.Drained || x.Region == name
+		}
+		for _, t := range targets {
+			if c.RegionOf(t.FailureDomain) != name {
+				continue
+			}
+			r.Targets++
+			if t.Ready {
+				r.Ready++
+				r.Slots += int(t.Slots)
+			}
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
 func (d *deployment) text(w io.Writer) {
 	fmt.Fprintf(w, "catalogue version %d, %d claims\n\n", d.Version, d.Claims)
 	fmt.Fprintln(w, "REPLICA\tADDRESS\tVOTER\tMATCH")
@@ -80,6 +126,10 @@
 		}
 		fmt.Fprintf(w, "%d%s\t%s\t%t\t%d\n", m.ID, role, m.Addr, m.Voter, m.Match)
 	}
+	fmt.Fprintln(w, "\nREGION\tTARGETS\tREADY\tSLOTS\tDRAINED")
+	for _, r := range d.Regions {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%t\n", r.Region, r.Targets, r.Ready, r.Slots, r.Drained)
+	}
 	fmt.Fprintln(w, "\nVM\tADDRESS\tFAILURE DOMAIN\tVERSION IN FORCE\tLEASE MS\tIN FLIGHT\tLEAVING")
 	for _, v := range d.VMs {
 		if v.Status == nil {
--- a/internal/state/claims.go
+++ b/internal/state/claims.go
@@ -58,7 +58,8 @@
 	switch o.Kind {
 	case eelpb.ClaimKind_CLAIM_TAKE:
 		s = eelpb.ClaimState_CLAIM_TAKEN
-	case eelpb.ClaimKind_CLAIM_CLOSE:
+	case eelpb.ClaimKind_CLAIM_CLOSE, eelpb.ClaimKind_CLAIM_REOPEN:
+		// A take that is still on its way comes too late then.
 		s = eelpb.ClaimState_CLAIM_CLOSED
 	default:
 		return &eelpb.ClaimReply{}
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -30,11 +30,6 @@
 }
 
 func (c *Catalogue) checkDomains() error {
-	for _, x := range c.Regions {
-		if x.MaxInFlight < 0 {
-			return fmt.Errorf("region/%s: maxInFlight is negative", x.Name)
-		}
-	}
 	for _, x := range c.Domains {
 		if err := c.needRegion("failureDomain/"+string(x.Name), x.Region); err != nil {
 			return err
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -112,8 +112,6 @@
 // Region is a set of failure domains that are near each other.
 type Region struct {
 	Name RegionID `json:"-"`
-	// MaxInFlight bounds the requests in progress in the region; 0 means its live slots.
-	MaxInFlight int `json:"maxInFlight,omitempty"`
 }
 
 // FailureDomain is a place that fails as a whole.
