Meter the link that a request really crosses

Cause: a site whose region has no entry is served by an owner in another region; the front metered the link to the site, and the owner's own crossing was not metered. An unknown verdict of an owner also counted as notRun. Change: the front takes the link to the owner, the owner the link to the site; only the three verdicts that prove it are notRun. Excluded: nothing measured fails; found by reading.

--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -99,10 +99,10 @@
 	switch v.kind {
 	case verdictAnswered:
 		return wire.Answered
-	case verdictBroken:
-		return wire.Unknown
+	case verdictRefused, verdictClosed, verdictConflict:
+		return wire.NotRun
 	}
-	return wire.NotRun
+	return wire.Unknown
 }
 
 // spare is the free part of a site's slots.
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -110,21 +110,35 @@
 			}
 		}
 	}
-	here := c.RegionOf(x.o.Domain)
-	if _, ok := c.Link(here, s.Region); s.Region == here || !ok {
-		return p, 0, s.Region == here
+	to := s.Via
+	if s.Local {
+		to = s.Region
+	}
+	wait, ok := x.takeLink(p, c, j, to)
+	return p, wait, ok
+}
+
+// takeLink takes the bytes of a request and of its expected answer of the link to a region.
+func (x *Entry) takeLink(p *permit, c *model.Catalogue, j *job, to model.RegionID) (time.Duration, bool) {
+	here, now := c.RegionOf(x.o.Domain), x.now()
+	if to == here {
+		return 0, true
+	}
+	if _, ok := c.Link(here, to); !ok {
+		p.giveBack(now)
+		return defaultRetryAfter, false
 	}
-	out := x.limits.get(lease.LinkResource(here, s.Region))
+	out := x.limits.get(lease.LinkResource(here, to))
 	if wait, ok := p.take(out, int64(len(j.body))+headerBytes, now); !ok {
-		return nil, wait, false
+		return wait, false
 	}
-	in := x.limits.get(lease.LinkResource(s.Region, here))
+	in := x.limits.get(lease.LinkResource(to, here))
 	n := x.sizes.expect(j.service, j.cls) + headerBytes
 	if wait, ok := p.take(in, n, now); !ok {
-		return nil, wait, false
+		return wait, false
 	}
 	p.in, p.reserved = in, n-headerBytes
-	return p, 0, true
+	return 0, true
 }
 
 // linkUse returns how full the link to a region is.
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -46,6 +46,13 @@
 		// A longer queue would only make every answer late.
 		q.AdmitWait = j.cls.ObjectiveMillis.Duration()
 	}
+	if a.permit == nil {
+		a.permit = &permit{}
+		c := x.view.Load().catalogue
+		if wait, ok := x.takeLink(a.permit, c, j, c.RegionOf(a.domain)); !ok {
+			return refused(wait, "the link from the owner to failure domain %q is full", a.domain)
+		}
+	}
 	t, err := p.Enter(q)
 	if err != nil {
 		return refusedBy(p, err)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -38,10 +38,12 @@
 
 // Site is the targets of one service in one failure domain that one VM owns.
 type Site struct {
-	VM      model.VMID
-	Addr    string
-	Domain  model.FailureDomainID
-	Region  model.RegionID
+	VM     model.VMID
+	Addr   string
+	Domain model.FailureDomainID
+	Region model.RegionID
+	// Via is the region of the owner, which is another one where the site's region has no VM.
+	Via     model.RegionID
 	Slots   int32
 	Load    int32
 	Latency time.Duration
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -77,6 +77,7 @@
 	}
 	owner := c.RegionOf(model.FailureDomainID(r.VM.FailureDomain))
 	s.Delay = delay(c, here, owner, !s.Local) + delay(c, owner, s.Region, r.VM.FailureDomain != l.FailureDomain)
+	s.Via = owner
 	if s.Region != here {
 		s.Link = self.Link(s.Region)
 	}
