Let the fake target really cut and mix up its answers

Cause: with the guards against cut and foreign answers removed, Script/answers still passed: the fake's cut answer was never sent, and its mixed-up one carried the right body. Change: the fake flushes before it cuts, and a mixed-up answer has the other's body. Conclusion: the proof of whole answers now proves something.

--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -298,6 +298,9 @@
 }
 
 func (t *Target) answer(w http.ResponseWriter, id string, f Fault) {
+	if f == FaultMixUp {
+		id += "-other"
+	}
 	b := fmt.Appendf(nil, "{\"request\":%q,\"target\":%q}", id, t.o.ID)
 	b = append(b, t.body...)
 	h := w.Header()
@@ -309,12 +312,11 @@
 		panic(http.ErrAbortHandler)
 	case FaultCut:
 		b = b[:len(b)/2]
-	case FaultMixUp:
-		h.Set(wire.HeaderRequestID, id+"-other")
 	}
 	// An entry that is gone is not told.
 	_, _ = w.Write(b)
 	if f == FaultCut {
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 }
