Read the catalogue in one place for reports

Cause: status and the reports each built the catalogue anew, line for line. Conclusion: one place to change.

--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -85,13 +85,18 @@
 	return d, nil
 }
 
-// regions adds up the targets of each region.
-func regions(ctx context.Context, cl *admin.Client, targets []lease.TargetStatus) ([]regionStatus, error) {
+// build reads the catalogue.
+func build(ctx context.Context, cl *admin.Client) (*model.Catalogue, error) {
 	cat, err := cl.Catalogue(ctx)
 	if err != nil {
 		return nil, err
 	}
-	c, err := model.NewCatalogue(cat.Version, cat.Objects)
+	return model.NewCatalogue(cat.Version, cat.Objects)
+}
+
+// regions adds up the targets of each region.
+func regions(ctx context.Context, cl *admin.Client, targets []lease.TargetStatus) ([]regionStatus, error) {
+	c, err := build(ctx, cl)
 	if err != nil {
 		return nil, err
 	}
@@ -163,11 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cat, err := cl.Catalogue(ctx)
-	if err != nil {
-		return nil, err
-	}
-	built, err := model.NewCatalogue(cat.Version, cat.Objects)
+	c, err := build(ctx, cl)
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +180,7 @@
 		}
 		all = append(all, b)
 	}
-	return burn.Report(burn.Merge(all...), built.Classes), nil
+	return burn.Report(burn.Merge(all...), c.Classes), nil
 }
 
 type burnCmd struct{ a *app }
