Wait for a link's share in one place; split the scenario commands

Excluded: the shape pairs of settings, error kinds and generated code, which are alike by house style and not the same logic. Change: the reader uses waitFor; commands that print move to ask_test.go; the sleep is a named constant. No check changes.

--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -154,10 +154,10 @@
 
 // pacedReader reads an answer no faster than the link's share allows.
 type pacedReader struct {
+	x    *Entry
 	ctx  context.Context
 	r    io.Reader
 	p    *permit
-	now  func() time.Duration
 	left int64
 }
 
@@ -165,23 +165,20 @@
 	if p == nil || p.in == nil {
 		return r
 	}
-	return &pacedReader{ctx: ctx, r: r, p: p, now: x.now, left: p.reserved}
+	return &pacedReader{x: x, ctx: ctx, r: r, p: p, left: p.reserved}
 }
 
 // Read reads at most one chunk and waits until the link's share covers it.
 func (r *pacedReader) Read(b []byte) (int, error) {
 	n, err := r.r.Read(b[:min(len(b), pacedChunk)])
 	r.left -= int64(n)
-	for r.left < 0 {
-		if r.p.in.Take(-r.left, r.now()) {
-			r.left = 0
-			break
-		}
-		sleep(r.ctx, max(time.Millisecond, r.p.in.Wait(-r.left, r.now())))
-		if r.ctx.Err() != nil {
-			return n, r.ctx.Err()
-		}
+	if r.left >= 0 {
+		return n, err
+	}
+	if err := r.x.waitFor(r.ctx, r.p, -r.left); err != nil {
+		return n, err
 	}
+	r.left = 0
 	return n, err
 }
 
--- a/internal/script/cmds_test.go
+++ b/internal/script/cmds_test.go
@@ -15,12 +15,14 @@
 	"syscall"
 	"time"
 
-	"github.com/eelgrassroad/eelgrassroad/internal/node"
-	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-const poll = 50 * time.Millisecond
+const (
+	poll = 50 * time.Millisecond
+	// settleTime is two renewals, after which all directories have the sites of all owners.
+	settleTime = time.Second
+)
 
 type cmdFunc func(ts *testscript.TestScript, neg bool, args []string)
 
@@ -255,12 +257,7 @@
 			return fmt.Errorf("target %s has no owner or is not ready", t)
 		}
 	}
-	return d.sitesSeen()
-}
-
-// sitesSeen checks that each entry's directory has the load of all owners: a renewal has passed since.
-func (d *deployment) sitesSeen() error {
-	time.Sleep(time.Second)
+	time.Sleep(settleTime)
 	return nil
 }
 
@@ -277,96 +274,6 @@
 	return nil
 }
 
-// printing makes a command of a function that returns output; "!" expects it to fail.
-func printing(f func(d *deployment, args []string) (string, error)) cmdFunc {
-	return func(ts *testscript.TestScript, neg bool, args []string) {
-		out, err := f(of(ts), args)
-		_, werr := io.WriteString(ts.Stdout(), out)
-		ts.Check(werr)
-		if err != nil {
-			ts.Logf("%v", err)
-		}
-		if (err != nil) != neg {
-			ts.Fatalf("unexpected result %q: %v", out, err)
-		}
-	}
-}
-
-func (d *deployment) run(program string, args ...string) (string, error) {
-	c := exec.Command(filepath.Join(binaries, program), args...)
-	c.Dir = d.dir
-	c.Env = append(os.Environ(), "EEL_TOKEN="+adminToken, "EEL_ADDRS="+strings.Join(d.replicas, ","))
-	var out, bad bytes.Buffer
-	c.Stdout, c.Stderr = &out, &bad
-	err := c.Run()
-	if err != nil {
-		err = fmt.Errorf("%w: %s", err, bad.String())
-	}
-	return out.String() + bad.String(), err
-}
-
-func (d *deployment) ctl(args []string) (string, error) {
-	return d.run("eelctl", args...)
-}
-
-func (d *deployment) call(args []string) (string, error) {
-	a := []string{"call"}
-	if len(args) == 0 || args[0] != "--entry" {
-		for _, e := range d.entryAddrs() {
-			a = append(a, "--entry", e)
-		}
-	} else {
-		p, err := d.get(args[1])
-		if err != nil {
-			return "", err
-		}
-		a = append(a, "--entry", front(p.ip))
-		args = args[2:]
-	}
-	return d.run("eelfake", append(a, args...)...)
-}
-
-// get1 prints what a process answers to a GET: get NAME PATH.
-func (d *deployment) get1(args []string) (string, error) {
-	p, err := d.get(args[0])
-	if err != nil {
-		return "", err
-	}
-	c := http.Client{Timeout: time.Second}
-	res, err := c.Get("http://" + front(p.ip) + args[1])
-	if err != nil {
-		return "", err
-	}
-	defer res.Body.Close()
-	b, err := io.ReadAll(res.Body)
-	return fmt.Sprintf("%d %s\n", res.StatusCode, b), err
-}
-
-func (d *deployment) leader([]string) (string, error) {
-	for i, r := range d.replicas {
-		name := fmt.Sprintf("state%d", i+1)
-		if name == d.old {
-			continue
-		}
-		if p, ok := d.procs[name]; !ok || !p.running() || p.frozen {
-			continue
-		}
-		c := http.Client{Timeout: time.Second}
-		res, err := c.Get("http://" + r + wire.PathStatus + "?self=1")
-		if err != nil {
-			continue
-		}
-		var s wire.Status
-		var n node.Status
-		err = json.NewDecoder(res.Body).Decode(&s)
-		res.Body.Close()
-		if err == nil && json.Unmarshal(s.Replica, &n) == nil && n.Role == "leader" {
-			return name + "\n", nil
-		}
-	}
-	return "", fmt.Errorf("no replica leads")
-}
-
 func cmdExpect(ts *testscript.TestScript, _ bool, args []string) {
 	need(ts, args, 3, "expect TIMEOUT REGEXP COMMAND...")
 	re := regexp.MustCompile(args[1])
