Give the fake target the project's time for a request's headers

The fake target closed a connection without a word when the request's headers came later than 400 ms after the connection; it had taken the time limit of its announcements for that. On a busy machine the relay and the test process (under the race detector, beside the other packages' tests) can be later.

Excluded: a target that ended (t1 is not ended in the scenario); a fault that drops answers (t1 had none before); a relay that could not connect (the client would see a reset, as its request was unread, not EOF).

Change: the fake target uses setup.HTTPServer, 10 s, as the daemons do.

--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -140,7 +140,7 @@
 		client: &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DialContext: o.Dial}},
 		state:  wire.Starting, tokens: map[string]string{}, to: o.Entries, incarnation: uint64(time.Now().UnixNano()),
 	}
-	t.http = &http.Server{Handler: t, ReadHeaderTimeout: announceTimeout}
+	t.http = setup.HTTPServer(t)
 	t.g = group.New(context.Background())
 	t.g.Go(func(context.Context) error { return ignoreClosed(t.http.Serve(lis)) })
 	t.g.Go(t.announceLoop)
