Measure lost regions, swaps, cold targets, refusals and shifts in a round

Change: round loses a region in the middle third (the relay's Lose), swaps all policies at a half, has cold targets, prints requests by second, the most shifted requests in any second beside the cap, and the time from the decision to refuse to the answer, which each entry now keeps (also under /debug/vars, with the bytes of its control traffic). The scenarios and the round read the targets' journals with the same code.

--- a/cmd/eelfake/round.go
+++ b/cmd/eelfake/round.go
@@ -24,6 +24,9 @@
 	Algorithm   string        `long:"algorithm" description:"algorithm of all policies instead of the example's"`
 	Fault       string        `long:"fault" description:"what the first target does from a third on: slow, shed, lie, mute, cut, drop, mixUp"`
 	DrainRegion string        `long:"drain-region" description:"region to drain from a third on"`
+	LoseRegion  string        `long:"lose-region" description:"region that is cut off in the middle third"`
+	SwapTo      string        `long:"swap-to" description:"algorithm of all policies from a half on"`
+	ColdRuns    int           `long:"cold-runs" default:"0" description:"how many requests a target is cold for after its start or its region's return"`
 	Net         int           `long:"net" default:"8" description:"second byte of the addresses, 127.NET.x.y"`
 	LogLevel    string        `long:"log-level" default:"error" description:"lowest level that is logged"`
 }
@@ -48,7 +51,8 @@
 	r, err := round.Run(ctx, round.Options{
 		Firm: firm, Load: c.Load, Length: c.Length, Seed: c.Seed, Dir: dir, Net: c.Net, ServiceTime: c.ServiceTime,
 		AnswerBytes: c.AnswerBytes, Resends: c.Resends, Algorithm: model.Algorithm(c.Algorithm), Fault: fakes.Fault(c.Fault),
-		DrainRegion: model.RegionID(c.DrainRegion), Log: l,
+		DrainRegion: model.RegionID(c.DrainRegion), LoseRegion: model.RegionID(c.LoseRegion), SwapTo: model.Algorithm(c.SwapTo),
+		ColdRuns: c.ColdRuns, Log: l,
 	})
 	if err != nil {
 		return err
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -62,7 +63,11 @@
 	Slots       int
 	ServiceTime time.Duration
 	AnswerBytes int
-	Log         log.Logger
+	// ColdRuns is how many requests a target is cold for after its start.
+	ColdRuns int
+	// Journal gets a line for each request that a target runs.
+	Journal io.Writer
+	Log     log.Logger
 }
 
 // place is where a host is.
@@ -142,6 +147,19 @@
 	return p, ok
 }
 
+// HostsOf returns the hosts of a region.
+func (d *Deployment) HostsOf(r model.RegionID) []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var out []string
+	for h, p := range d.hosts {
+		if p.region == r {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 func (d *Deployment) ip(kind, n int) string {
 	return fmt.Sprintf("127.%d.%d.%d", d.o.Net, kind, n)
 }
@@ -261,6 +279,7 @@
 	t, err := fakes.NewTarget(fakes.TargetOptions{
 		ID: model.TargetID(fmt.Sprintf("%s-%d", s, number)), Service: s, Domain: domain, Listen: n.Listen, Advertise: n.Advertise,
 		Dial: n.Dialer(), Entries: d.Addrs, Slots: d.o.Slots, ServiceTime: d.o.ServiceTime, Spread: true, AnswerBytes: d.o.AnswerBytes,
+		ColdRuns: d.o.ColdRuns, Journal: d.o.Journal,
 	})
 	if err != nil {
 		return err
--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -82,11 +82,18 @@
 type Metrics struct {
 	Status
 	Counts map[string]burn.Counts `json:"counts"`
+	// Refusals are the times of refusals by the delivery of their classes.
+	Refusals map[model.Delivery]RefusalTimes `json:"refusals"`
+	// ControlBytes is counted since the start.
+	ControlBytes ControlBytes `json:"controlBytes"`
 }
 
 // Metrics returns the entry's state and counts by service, class and policy.
 func (x *Entry) Metrics() Metrics {
-	m := Metrics{Status: x.Status(), Counts: map[string]burn.Counts{}}
+	m := Metrics{
+		Status: x.Status(), Counts: map[string]burn.Counts{},
+		Refusals: x.refusals.times(), ControlBytes: x.state.meter.bytes(),
+	}
 	for _, s := range x.book.Snapshot() {
 		m.Counts[fmt.Sprintf("%s/%s/%s", s.Service, s.Class, s.Policy)] = s.Counts
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,6 +106,7 @@
 	turn      atomic.Uint64
 	shifts    shiftMeters
 	rests     rests
+	refusals  refusals
 }
 
 // New starts an entry.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -41,9 +41,15 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), j.deadline-x.now())
 	defer cancel()
-	r := x.settle(ctx, j, x.steer(ctx, v, j))
+	r := x.steer(ctx, v, j)
+	decided := x.now()
+	r = x.settle(ctx, j, r)
 	x.count(j, r, x.now()-from)
-	return x.say(c, j, r)
+	err = x.say(c, j, r)
+	if r.kind != verdictAnswered {
+		x.refusals.add(j.cls.Delivery, x.now()-decided)
+	}
+	return err
 }
 
 func (x *Entry) count(j *job, r verdict, took time.Duration) {
--- /dev/null
+++ b/internal/entry/refusal.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	maxRefusalMicros = 60_000_000
+	refusalDigits    = 3
+	highQuantile     = 99
+)
+
+// RefusalTimes is how long callers waited for their final answer after the last
+// site had refused their request.
+type RefusalTimes struct {
+	Count     int64   `json:"count"`
+	P50Millis float64 `json:"p50Millis"`
+	P99Millis float64 `json:"p99Millis"`
+}
+
+// refusals are the times of refusals by delivery: a request that runs at most
+// once is refused when its claim is closed, any other at once.
+type refusals struct {
+	mu sync.Mutex
+	m  map[model.Delivery]*hdrhistogram.Histogram
+}
+
+func (r *refusals) add(d model.Delivery, took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.m == nil {
+		r.m = map[model.Delivery]*hdrhistogram.Histogram{}
+	}
+	if r.m[d] == nil {
+		r.m[d] = hdrhistogram.New(1, maxRefusalMicros, refusalDigits)
+	}
+	// The value is within the bounds, so recording cannot fail.
+	_ = r.m[d].RecordValue(min(maxRefusalMicros, max(1, took.Microseconds())))
+}
+
+func (r *refusals) times() map[model.Delivery]RefusalTimes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[model.Delivery]RefusalTimes{}
+	for d, h := range r.m {
+		out[d] = RefusalTimes{
+			Count:     h.TotalCount(),
+			P50Millis: micros(h.ValueAtQuantile(50)),
+			P99Millis: micros(h.ValueAtQuantile(highQuantile)),
+		}
+	}
+	return out
+}
+
+func micros(n int64) float64 {
+	return float64(n) / float64(time.Millisecond/time.Microsecond)
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -21,13 +21,13 @@
 	at       int
 	c        *http.Client
 	clients  map[string]eelpb.State
+	meter    byteMeter
 }
 
 func newStateClient(o Options) *stateClient {
-	return &stateClient{
-		replicas: slices.Clone(o.Replicas), clients: map[string]eelpb.State{},
-		c: &http.Client{Transport: o.Key.Transport(newTransport(o.Dial))},
-	}
+	s := &stateClient{replicas: slices.Clone(o.Replicas), clients: map[string]eelpb.State{}}
+	s.c = &http.Client{Transport: o.Key.Transport(newTransport(s.meter.dialer(o.Dial)))}
+	return s
 }
 
 // current returns the replica that is thought to lead.
--- a/internal/fakes/load.go
+++ b/internal/fakes/load.go
@@ -50,6 +50,9 @@
 	Sent     int64                  `json:"sent"`
 	Outcomes map[wire.Outcome]int64 `json:"outcomes"`
 	Late     int64                  `json:"late"`
+	// SentPerSecond and InTimePerSecond count by the second of the planned arrival.
+	SentPerSecond   []int64 `json:"sentPerSecond"`
+	InTimePerSecond []int64 `json:"inTimePerSecond"`
 	// Latencies in milliseconds, from the planned arrival to the answer.
 	P50  float64 `json:"p50Millis"`
 	P99  float64 `json:"p99Millis"`
@@ -118,7 +121,7 @@
 			go func() {
 				defer wg.Done()
 				a := send(ctx, c, q, s.Resends)
-				t.add(a, planned, s.Deadline)
+				t.add(a, start, planned, s.Deadline)
 				t.write(o.Journal, ending(q, a))
 			}()
 		}
@@ -144,11 +147,14 @@
 	}
 }
 
-func (t *tally) add(a caller.Answer, planned time.Time, deadline time.Duration) {
+func (t *tally) add(a caller.Answer, start, planned time.Time, deadline time.Duration) {
 	took := time.Since(planned)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.r.Sent++
+	second := int(planned.Sub(start) / time.Second)
+	count(&t.r.SentPerSecond, second, true)
+	count(&t.r.InTimePerSecond, second, a.Outcome == wire.Answered && (deadline <= 0 || took <= deadline))
 	t.r.Outcomes[a.Outcome]++
 	us := min(maxMicros, max(1, took.Microseconds()))
 	if a.Outcome == wire.Answered {
@@ -163,6 +169,16 @@
 	t.r.Reasons[shorten(a.Reason)]++
 }
 
+// count adds one to the count of a second.
+func count(list *[]int64, second int, one bool) {
+	for len(*list) <= second {
+		*list = append(*list, 0)
+	}
+	if one {
+		(*list)[second]++
+	}
+}
+
 // Ending is a line of a load's journal.
 type Ending struct {
 	Request model.RequestID `json:"request"`
--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -79,6 +79,9 @@
 	// StartTime is how long the target is starting.
 	StartTime   time.Duration
 	AnswerBytes int
+	// ColdRuns is how many requests take longer after the start, the first of
+	// them coldFactor times as long.
+	ColdRuns int
 	// Journal gets a line for each request that runs.
 	Journal io.Writer
 	// Advertise is the address to announce; empty means the one that is listened on.
@@ -123,6 +126,7 @@
 	inFlight    atomic.Int64
 	most        atomic.Int64
 	runs        atomic.Int64
+	cold        atomic.Int64
 	journal     sync.Mutex
 }
 
@@ -140,6 +144,7 @@
 		client: &http.Client{Timeout: announceTimeout, Transport: &http.Transport{DialContext: o.Dial}},
 		state:  wire.Starting, tokens: map[string]string{}, to: o.Entries, incarnation: uint64(time.Now().UnixNano()),
 	}
+	t.Chill()
 	t.http = setup.HTTPServer(t)
 	t.g = group.New(context.Background())
 	t.g.Go(func(context.Context) error { return ignoreClosed(t.http.Serve(lis)) })
@@ -262,7 +267,7 @@
 		Home: model.RegionID(r.Header.Get(wire.HeaderRegion)), Path: r.URL.Path, SinceDrainMillis: since, InFlight: int(n),
 	})
 	t.slots <- struct{}{}
-	t.work(r.Context(), f)
+	t.work(r.Context(), f, t.coldness())
 	<-t.slots
 	t.answer(w, id, f)
 }
@@ -281,8 +286,25 @@
 	_, _ = t.o.Journal.Write(append(b, '\n'))
 }
 
-func (t *Target) work(ctx context.Context, f Fault) {
-	d := t.o.ServiceTime
+// coldFactor is how many times as long the first request of a cold target takes.
+const coldFactor = 4
+
+// coldness returns by how much the next request takes longer, which falls to 1.
+func (t *Target) coldness() float64 {
+	left := t.cold.Add(-1)
+	if left < 0 {
+		return 1
+	}
+	return 1 + (coldFactor-1)*float64(left+1)/float64(t.o.ColdRuns)
+}
+
+// Chill makes the target as cold as after a start.
+func (t *Target) Chill() {
+	t.cold.Store(int64(t.o.ColdRuns))
+}
+
+func (t *Target) work(ctx context.Context, f Fault, coldness float64) {
+	d := time.Duration(float64(t.o.ServiceTime) * coldness)
 	if t.o.Spread {
 		d = time.Duration(float64(d) * rand.ExpFloat64())
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -39,6 +39,7 @@
 
 	mu    sync.Mutex
 	cut   map[Pair]bool
+	lost  map[string]bool
 	delay func(from, to string) time.Duration
 	zone  func(host string) string
 	count map[Pair]map[int64]int64
@@ -52,7 +53,7 @@
 // New returns an empty network without delays.
 func New() *Network {
 	return &Network{
-		g: group.New(context.Background()), cut: map[Pair]bool{}, count: map[Pair]map[int64]int64{},
+		g: group.New(context.Background()), cut: map[Pair]bool{}, lost: map[string]bool{}, count: map[Pair]map[int64]int64{},
 		conns: map[net.Conn]bool{}, start: time.Now(),
 		delay: func(string, string) time.Duration { return 0 },
 	}
@@ -82,6 +83,24 @@
 	n.set(a, b, false)
 }
 
+// Lose cuts hosts off from all others; they still reach each other.
+func (n *Network) Lose(hosts []string) {
+	n.mark(hosts, true)
+}
+
+// Return ends the loss of hosts.
+func (n *Network) Return(hosts []string) {
+	n.mark(hosts, false)
+}
+
+func (n *Network) mark(hosts []string, lost bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range hosts {
+		n.lost[h] = lost
+	}
+}
+
 func (n *Network) set(a, b string, cut bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -92,7 +111,7 @@
 func (n *Network) isCut(p Pair) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.cut[p]
+	return n.cut[p] || n.lost[p.From] != n.lost[p.To]
 }
 
 // Front accepts connections at an address and passes them to another.
--- /dev/null
+++ b/internal/round/disturb.go
@@ -0,0 +1,94 @@
+package round
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/demo"
+	"github.com/eelgrassroad/eelgrassroad/internal/fakes"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
+)
+
+// step is something that happens during a round.
+type step struct {
+	at time.Duration
+	do func(context.Context, *demo.Deployment) error
+}
+
+// steps returns what happens during the round, in order.
+func (o Options) steps() []step {
+	third := o.Length / 3
+	var out []step
+	if o.Fault != fakes.FaultNone {
+		out = append(out, step{third, o.breakTarget})
+	}
+	if o.DrainRegion != "" {
+		out = append(out, step{third, o.drainRegion})
+	}
+	if o.LoseRegion != "" {
+		out = append(out, step{third, o.loseRegion}, step{2 * third, o.returnRegion})
+	}
+	if o.SwapTo != "" {
+		out = append(out, step{o.Length / 2, o.swap})
+	}
+	return out
+}
+
+// disturb does what the round is about at its times.
+func disturb(ctx context.Context, d *demo.Deployment, o Options) error {
+	from := time.Now()
+	for _, s := range o.steps() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(time.Until(from.Add(s.at))):
+		}
+		if err := s.do(ctx, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o Options) breakTarget(_ context.Context, d *demo.Deployment) error {
+	d.Targets[0].SetFault(o.Fault)
+	return nil
+}
+
+func (o Options) drainRegion(ctx context.Context, d *demo.Deployment) error {
+	return change(ctx, d, func([]model.Object) []model.Object {
+		return []model.Object{{
+			Kind: model.ObjectDrain, Name: "round", Owner: "admin", Spec: fmt.Appendf(nil, "{\"region\":%q}", o.DrainRegion),
+		}}
+	})
+}
+
+func (o Options) swap(ctx context.Context, d *demo.Deployment) error {
+	return change(ctx, d, func(all []model.Object) []model.Object { return setAlgorithm(all, o.SwapTo) })
+}
+
+func (o Options) loseRegion(_ context.Context, d *demo.Deployment) error {
+	d.Net.Lose(d.HostsOf(o.LoseRegion))
+	return nil
+}
+
+func (o Options) returnRegion(_ context.Context, d *demo.Deployment) error {
+	for _, t := range d.Targets {
+		if d.Catalogue().RegionOf(t.Domain()) == o.LoseRegion {
+			t.Chill()
+		}
+	}
+	d.Net.Return(d.HostsOf(o.LoseRegion))
+	return nil
+}
+
+func change(ctx context.Context, d *demo.Deployment, put func([]model.Object) []model.Object) error {
+	cat, err := d.Admin.Catalogue(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = d.Admin.Change(ctx, wire.Change{ChangeID: "round", BaseVersion: cat.Version, Put: put(cat.Objects)})
+	return err
+}
--- a/internal/round/round.go
+++ b/internal/round/round.go
@@ -12,10 +12,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/examples"
 	"github.com/eelgrassroad/eelgrassroad/internal/demo"
+	"github.com/eelgrassroad/eelgrassroad/internal/entry"
 	"github.com/eelgrassroad/eelgrassroad/internal/fakes"
 	"github.com/eelgrassroad/eelgrassroad/internal/group"
 	"github.com/eelgrassroad/eelgrassroad/pkg/caller"
@@ -83,7 +85,14 @@
 	Fault fakes.Fault
 	// DrainRegion is drained from a third of the round on.
 	DrainRegion model.RegionID
-	Log         log.Logger
+	// LoseRegion is cut off from all others, callers too, in the middle third.
+	LoseRegion model.RegionID
+	// SwapTo is the algorithm of all policies from a half on.
+	SwapTo model.Algorithm
+	// ColdRuns is how many requests a target is cold for after its start, and
+	// after its region was lost.
+	ColdRuns int
+	Log      log.Logger
 }
 
 // Result is what a round measured.
@@ -102,6 +111,12 @@
 	// LinkHeadroom is the least spare part of each link in any second.
 	LinkHeadroom map[string]float64 `json:"linkHeadroom"`
 	MaxInFlight  int64              `json:"maxInFlightPerTarget"`
+	// Refusals are the worst of the entries' times from the decision to refuse to the answer.
+	Refusals map[model.Delivery]entry.RefusalTimes `json:"refusals"`
+	// MostShifted is the most requests of a service in any second that ran outside their home region.
+	MostShifted map[model.ServiceID]int `json:"mostShiftedPerSecond"`
+	// ShiftCap is the cap of each service.
+	ShiftCap map[model.ServiceID]int64 `json:"shiftCapPerSecond"`
 }
 
 // Class is what happened to a class, beside what the ideal queue would have done.
@@ -114,7 +129,8 @@
 
 // Run starts a deployment, sends the load and measures.
 func Run(ctx context.Context, o Options) (*Result, error) {
-	d, err := start(ctx, o)
+	j := &journal{}
+	d, err := start(ctx, o, j)
 	if err != nil {
 		return nil, err
 	}
@@ -122,28 +138,38 @@
 	if e := d.Close(); err == nil {
 		err = e
 	}
-	return r, err
+	if err != nil {
+		return nil, err
+	}
+	return r, r.addShifts(d.Catalogue(), j)
 }
 
-func start(ctx context.Context, o Options) (*demo.Deployment, error) {
+func start(ctx context.Context, o Options, journal io.Writer) (*demo.Deployment, error) {
 	objects, err := model.Parse(o.Firm.File)
 	if err != nil {
 		return nil, err
 	}
 	if o.Algorithm != "" {
-		for i, x := range objects {
-			if x.Kind == model.ObjectPolicy {
-				p := fmt.Sprintf("{\"service\":%q,\"algorithm\":%q,\"weight\":100}", serviceOf(x), o.Algorithm)
-				objects[i].Spec = []byte(p)
-			}
-		}
+		setAlgorithm(objects, o.Algorithm)
 	}
 	return demo.New(ctx, demo.Options{
 		Objects: objects, Dir: o.Dir, Net: o.Net, Entries: o.Firm.Entries, Targets: o.Firm.Targets, Slots: o.Firm.Slots,
-		ServiceTime: o.ServiceTime, AnswerBytes: o.AnswerBytes, Log: o.Log,
+		ServiceTime: o.ServiceTime, AnswerBytes: o.AnswerBytes, ColdRuns: o.ColdRuns, Journal: journal, Log: o.Log,
 	})
 }
 
+// setAlgorithm gives all policies an algorithm, and returns them.
+func setAlgorithm(objects []model.Object, a model.Algorithm) []model.Object {
+	var out []model.Object
+	for i, x := range objects {
+		if x.Kind == model.ObjectPolicy {
+			objects[i].Spec = fmt.Appendf(nil, "{\"service\":%q,\"algorithm\":%q,\"weight\":100}", serviceOf(x), a)
+			out = append(out, objects[i])
+		}
+	}
+	return out
+}
+
 func (o Options) capacity(s model.ServiceID) float64 {
 	return float64(o.Firm.Targets[s]*o.Firm.Slots) / o.ServiceTime.Seconds()
 }
@@ -190,6 +216,7 @@
 		k.IdealP50, k.IdealP99 = o.ideal(s.Service, i)
 		r.Classes = append(r.Classes, k)
 	}
+	r.Refusals = refusalsOf(d)
 	for _, t := range d.Targets {
 		r.MaxInFlight = max(r.MaxInFlight, t.Stats().MaxInFlight)
 	}
@@ -202,27 +229,18 @@
 	}
 }
 
-// disturb does what the round is about after a third of its length.
-func disturb(ctx context.Context, d *demo.Deployment, o Options) error {
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-time.After(o.Length / 3):
-	}
-	if o.Fault != fakes.FaultNone {
-		d.Targets[0].SetFault(o.Fault)
-	}
-	if o.DrainRegion == "" {
-		return nil
-	}
-	cat, err := d.Admin.Catalogue(ctx)
-	if err != nil {
-		return err
+// refusalsOf returns the worst times of all entries, with the sum of the counts.
+func refusalsOf(d *demo.Deployment) map[model.Delivery]entry.RefusalTimes {
+	out := map[model.Delivery]entry.RefusalTimes{}
+	for _, x := range d.Entries {
+		for k, t := range x.Metrics().Refusals {
+			o := out[k]
+			out[k] = entry.RefusalTimes{
+				Count: o.Count + t.Count, P50Millis: max(o.P50Millis, t.P50Millis), P99Millis: max(o.P99Millis, t.P99Millis),
+			}
+		}
 	}
-	_, err = d.Admin.Change(ctx, wire.Change{ChangeID: "round-drain", BaseVersion: cat.Version, Put: []model.Object{{
-		Kind: model.ObjectDrain, Name: "round", Owner: "admin", Spec: fmt.Appendf(nil, "{\"region\":%q}", o.DrainRegion),
-	}}})
-	return err
+	return out
 }
 
 func linkHeadroom(d *demo.Deployment) map[string]float64 {
--- /dev/null
+++ b/internal/round/shift.go
@@ -0,0 +1,53 @@
+package round
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fakes"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// journal keeps what the targets ran.
+type journal struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds lines of one target.
+func (j *journal) Write(p []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.b.Write(p)
+}
+
+// addShifts sets the most shifted requests of each service beside its cap.
+func (r *Result) addShifts(c *model.Catalogue, j *journal) error {
+	runs, err := fakes.ReadLines[fakes.Run](&j.b)
+	if err != nil {
+		return err
+	}
+	r.MostShifted, r.ShiftCap = map[model.ServiceID]int{}, map[model.ServiceID]int64{}
+	for s := range r.Capacity {
+		at := fakes.Shifted(ofService(runs, s), func(d string) model.RegionID { return c.RegionOf(model.FailureDomainID(d)) })
+		r.MostShifted[s] = fakes.MostPerSecond(at)
+		for _, k := range c.Caps {
+			if k.Service == s {
+				r.ShiftCap[s] = k.PerSecond
+			}
+		}
+	}
+	return nil
+}
+
+// ofService returns the runs of a service, whose targets are named after it.
+func ofService(runs []fakes.Run, s model.ServiceID) []fakes.Run {
+	var out []fakes.Run
+	for _, r := range runs {
+		if strings.HasPrefix(string(r.Target), string(s)+"-") {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- a/internal/script/check_test.go
+++ b/internal/script/check_test.go
@@ -1,8 +1,6 @@
 package script
 
 import (
-	"bufio"
-	"encoding/json"
 	"os"
 	"path/filepath"
 	"slices"
@@ -22,15 +20,8 @@
 	}
 	ts.Check(err)
 	defer f.Close()
-	var out []T
-	s := bufio.NewScanner(f)
-	for s.Scan() {
-		var x T
-		if json.Unmarshal(s.Bytes(), &x) == nil {
-			out = append(out, x)
-		}
-	}
-	ts.Check(s.Err())
+	out, err := fakes.ReadLines[T](f)
+	ts.Check(err)
 	return out
 }
 
@@ -152,20 +143,8 @@
 
 // checkShift looks at every window of one second.
 func checkShift(ts *testscript.TestScript, runs []fakes.Run, most int) {
-	var at []int64
-	for _, r := range runs {
-		if !strings.HasPrefix(r.Domain, string(r.Home)+"-") {
-			at = append(at, r.At.UnixMilli())
-		}
-	}
-	slices.Sort(at)
-	worst, from := 0, 0
-	for i := range at {
-		for at[i]-at[from] >= 1000 {
-			from++
-		}
-		worst = max(worst, i-from+1)
-	}
+	at := fakes.Shifted(runs, regionOf)
+	worst := fakes.MostPerSecond(at)
 	ts.Logf("%d requests shifted, at most %d in a second", len(at), worst)
 	if worst > most {
 		ts.Fatalf("%d requests were shifted in one second, more than %d", worst, most)
--- a/internal/script/deploy_test.go
+++ b/internal/script/deploy_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/relay"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 )
 
 const (
@@ -222,10 +223,15 @@
 	return d.add(name, "eelfake", ip, append(args, extra...)...)
 }
 
-// place notes the region of a host, which is the first part of its failure domain.
+// place notes the region of a host.
 func (d *deployment) place(ip, domain string) {
+	d.regions.Store(ip, string(regionOf(domain)))
+}
+
+// regionOf returns the first part of a failure domain's name.
+func regionOf(domain string) model.RegionID {
 	region, _, _ := strings.Cut(domain, "-")
-	d.regions.Store(ip, region)
+	return model.RegionID(region)
 }
 
 func (d *deployment) entryAddrs() []string {
