Notice silent entries and owners before the deadline of a request

A caller waited for the connection that stayed open, then asked the silent entries one after the other for a list, 2 s each; an entry sent hops to silent owners until their leases were over.

Excluded: the lease length (requests were lost for 6 s, a lease is 2.5 s); the shift cap (14 to 24 of 100 a second were used).

Change: internal/watch makes a call and probes the other side (/healthz) when nothing came for 300 ms (hop: 250 ms and the way); it gives the call up only when the probe fails too. A sign of life by any other request saves the probe. A caller then probes all entries of its list at once, passes over those that are silent until they answer, asks for a new list at half the life of the old one, one question at a time. An entry sends nothing to a silent owner for the length of a lease. A request that runs at most once is resent with the same id, as after any broken connection; its claim decides.

What remains unknown are requests that were at the lost region's owners when it went.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -31,7 +31,7 @@
 	for _, p := range []string{wire.PathCatalogue, wire.PathChanges, wire.PathChanges + "/:id", wire.PathStatus, wire.PathReplicas} {
 		x.e.Any(p, x.relay)
 	}
-	x.e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	x.e.GET(wire.PathHealth, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	x.e.GET("/readyz", x.ready)
 	x.e.GET("/debug/vars", echo.WrapHandler(expvar.Handler()))
 }
--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/steer"
+	"github.com/eelgrassroad/eelgrassroad/internal/watch"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/labstack/echo/v4"
@@ -40,6 +41,40 @@
 	if p != nil && p.in != nil {
 		q.Header.Set(headerReserved, strconv.FormatInt(p.reserved, 10))
 	}
+	o := watch.Options{
+		After: silentAfter + s.Delay, ProbeTimeout: silentAfter + s.Delay,
+		Probe: func(ctx context.Context) error { return x.probe(ctx, s) },
+	}
+	v, err := watch.Do(ctx, o, func(ctx context.Context) (verdict, error) { return x.ask(q.WithContext(ctx), j, s, p), nil })
+	if err != nil {
+		s.Gauge.Silence(x.now() + x.leaseLength())
+		return broken("owner %q: %v", s.VM, err)
+	}
+	return v
+}
+
+// silentAfter is how long an owner may say nothing before it is probed.
+const silentAfter = 250 * time.Millisecond
+
+// probe asks an owner for a sign of life, unless there was one just now.
+func (x *Entry) probe(ctx context.Context, s *steer.Site) error {
+	if s.Gauge.SeenWithin(silentAfter, x.now()) {
+		return nil
+	}
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr+wire.PathHealth, nil)
+	if err != nil {
+		return err
+	}
+	res, err := x.hop.Do(q)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// ask sends the request of a hop and reads the whole answer.
+func (x *Entry) ask(q *http.Request, j *job, s *steer.Site, p *permit) verdict {
+	ctx := q.Context()
 	res, err := x.hop.Do(q)
 	if err != nil {
 		return broken("owner %q: %v", s.VM, err)
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -66,6 +66,19 @@
 	// Load is the load that the owner's last answer told, and At when.
 	Load atomic.Int32
 	At   atomic.Int64
+	// silentTo is until when nothing is sent to the owner, which did not answer.
+	silentTo atomic.Int64
+}
+
+// Silence keeps requests from an owner that does not answer until a time.
+func (g *Gauge) Silence(until time.Duration) {
+	g.silentTo.Store(int64(until))
+}
+
+// SeenWithin tells whether the owner answered less than d ago.
+func (g *Gauge) SeenWithin(d, now time.Duration) bool {
+	at := g.At.Load()
+	return at > 0 && now < time.Duration(at)+d
 }
 
 // See takes the load that an answer told.
@@ -115,6 +128,11 @@
 	return l + f*max(0, float64(s.Slots)-l)
 }
 
+// usable tells whether the site has slots and its owner answers.
+func (s *Site) usable(now time.Duration) bool {
+	return s.Slots > 0 && int64(now) >= s.Gauge.silentTo.Load()
+}
+
 // wait is the expected time at the site: the service time, and the wait where all slots are in use.
 func (s *Site) wait(now time.Duration) float64 {
 	if s.Slots <= 0 {
@@ -162,7 +180,7 @@
 	n := len(sites)
 	for k := range n {
 		i := int((q.Turn + uint64(k)) % uint64(n))
-		if !tried.Has(i) && sites[i].Slots > 0 {
+		if !tried.Has(i) && sites[i].usable(q.Now) {
 			return i
 		}
 	}
@@ -173,7 +191,7 @@
 // all regions once those are full.
 func leastOfTwo(q Query, s *Sites, tried *Tried) int {
 	home := s.byRegion[q.Home]
-	i := lesser(q, s.List, randomSite(s.List, home, tried), randomSite(s.List, home, tried))
+	i := lesser(q, s.List, randomSite(q, s.List, home, tried), randomSite(q, s.List, home, tried))
 	if i >= 0 && !s.List[i].full(q.Now) {
 		return i
 	}
@@ -199,13 +217,13 @@
 const maxDraws = 8
 
 // randomSite returns a random usable site among the indexes, or -1.
-func randomSite(sites []Site, among []int32, tried *Tried) int {
+func randomSite(q Query, sites []Site, among []int32, tried *Tried) int {
 	if len(among) == 0 {
 		return -1
 	}
 	for range maxDraws {
 		i := int(among[rand.IntN(len(among))])
-		if sites[i].Slots > 0 && !tried.Has(i) {
+		if sites[i].usable(q.Now) && !tried.Has(i) {
 			return i
 		}
 	}
@@ -218,7 +236,7 @@
 	best, least, seen := -1, math.Inf(1), 0
 	for i := range sites {
 		s := &sites[i]
-		if s.Slots <= 0 || tried.Has(i) {
+		if !s.usable(q.Now) || tried.Has(i) {
 			continue
 		}
 		if c := cost(q, s); c < least {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -20,10 +20,10 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/watch"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
@@ -41,9 +41,11 @@
 type Error = fault.Error[Kind]
 
 const (
-	listTimeout     = 2 * time.Second
 	dialTimeout     = 500 * time.Millisecond
 	defaultDeadline = 5 * time.Second
+	// silentAfter is how long an entry may say nothing before it is probed.
+	silentAfter  = 300 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
 	// maxSends bounds how often one request is sent.
 	maxSends    = 3
 	idlePerHost = 256
@@ -88,13 +90,10 @@
 
 // Client is safe for concurrent use.
 type Client struct {
-	o Options
-	c *http.Client
-
-	mu    sync.Mutex
-	list  []wire.Entry
-	until time.Time
-	bad   map[string]time.Time
+	o      Options
+	c      *http.Client
+	list   list
+	health health
 }
 
 // New returns a client.
@@ -103,7 +102,9 @@
 		o.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	t := &http.Transport{DialContext: o.DialContext, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true}
-	return &Client{o: o, c: &http.Client{Transport: t}, bad: map[string]time.Time{}}
+	c := &Client{o: o, c: &http.Client{Transport: t}}
+	c.health.init(c.probe)
+	return c
 }
 
 // Close closes idle connections.
@@ -111,96 +112,6 @@
 	c.c.CloseIdleConnections()
 }
 
-// Entries returns the cached list of entries, and asks for it where it has expired.
-func (c *Client) Entries(ctx context.Context) ([]wire.Entry, error) {
-	c.mu.Lock()
-	list, fresh := c.list, time.Now().Before(c.until)
-	c.mu.Unlock()
-	if fresh {
-		return list, nil
-	}
-	err := c.refresh(ctx, list)
-	if err != nil {
-		return nil, err
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.list, nil
-}
-
-func (c *Client) refresh(ctx context.Context, list []wire.Entry) error {
-	addrs := make([]string, 0, len(list)+len(c.o.Entries))
-	for _, e := range list {
-		addrs = append(addrs, e.Addr)
-	}
-	addrs = append(addrs, c.o.Entries...)
-	var last error
-	for _, a := range addrs {
-		if last = c.ask(ctx, a); last == nil {
-			return nil
-		}
-	}
-	return fault.New("caller.Entries", KindNoEntry, last)
-}
-
-func (c *Client) ask(ctx context.Context, addr string) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	u := "http://" + addr + wire.PathEntries + "?region=" + string(c.o.Region)
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
-	if err != nil {
-		return err
-	}
-	asked := time.Now()
-	res, err := c.c.Do(q)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	var l wire.Entries
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("entry %s answered with status %d", addr, res.StatusCode)
-	}
-	if err := json.NewDecoder(res.Body).Decode(&l); err != nil {
-		return err
-	}
-	if len(l.Entries) == 0 {
-		return fmt.Errorf("entry %s named no entries", addr)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.list, c.until = l.Entries, asked.Add(l.TTLMillis.Duration())
-	return nil
-}
-
-// pick returns the best entry that was not tried and did not fail just now.
-func (c *Client) pick(list []wire.Entry, tried map[string]bool) (string, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	second := ""
-	for _, e := range list {
-		if tried[e.Addr] {
-			continue
-		}
-		if time.Now().After(c.bad[e.Addr]) {
-			return e.Addr, true
-		}
-		if second == "" {
-			second = e.Addr
-		}
-	}
-	return second, second != ""
-}
-
-// badFor is how long an entry that did not answer is passed over.
-const badFor = 2 * time.Second
-
-func (c *Client) failed(addr string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bad[addr] = time.Now().Add(badFor)
-}
-
 // Do sends a request and returns its outcome. Without an answer from any entry the outcome is unknown.
 func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
 	from := time.Now()
@@ -215,17 +126,18 @@
 	tried := map[string]bool{}
 	last := Answer{Outcome: wire.Unknown, Reason: "no entry answered"}
 	for range maxSends {
-		addr, ok := c.pick(list, tried)
+		addr, ok := c.health.pick(list, tried)
 		if !ok || ctx.Err() != nil {
 			break
 		}
 		tried[addr] = true
-		a, err := c.send(ctx, addr, r, from)
+		a, err := c.watched(ctx, addr, list, r, from)
 		if err != nil {
 			last.Reason = err.Error()
-			c.failed(addr)
+			c.health.failed(addr)
 			continue
 		}
+		c.health.answered(addr)
 		last = a
 		break
 	}
@@ -252,6 +164,17 @@
 	return r
 }
 
+// watched sends a request, and gives it up when the entry turns out to be silent.
+func (c *Client) watched(ctx context.Context, addr string, list []wire.Entry, r Request, from time.Time) (Answer, error) {
+	o := watch.Options{After: silentAfter, ProbeTimeout: probeTimeout, Probe: func(ctx context.Context) error {
+		if c.health.silent(addr) {
+			c.health.survey(list)
+		}
+		return c.health.check(ctx, addr)
+	}}
+	return watch.Do(ctx, o, func(ctx context.Context) (Answer, error) { return c.send(ctx, addr, r, from) })
+}
+
 func (c *Client) send(ctx context.Context, addr string, r Request, from time.Time) (Answer, error) {
 	u := fmt.Sprintf("http://%s%s/%s/%s%s", addr, wire.PathServices, r.Service, r.Class, r.Path)
 	q, err := http.NewRequestWithContext(ctx, r.Method, u, bytes.NewReader(r.Body))
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -54,6 +54,7 @@
 	PathReplicas  = "/v1/replicas"
 	PathBurn      = "/v1/burn"
 	PathVM        = "/v1/vm"
+	PathHealth    = "/healthz"
 )
 
 // Outcome says what happened to a request.
