Grant shares by demand, and at once

Cause: a lost region's look-ups shifted at 14 a second and a drained region's took seconds to use their cap of 100. All shares were granted, in equal parts where nobody had demand; a VM with demand had to wait for the others' next renewals (up to 500 ms each) and for the rest of 1.2 s.

Excluded: the sites (they had slots); the window of 1.2 s, which bounds the use at 83 % and is needed, since a dispatch may be up to 200 ms after its permit.

Change: a VM is granted at most twice its demand and 1/200 of the capacity; what is left is granted to nobody and can be had at once. A VM whose share is too small renews at once, at most every 100 ms; one without any share lets a request wait for that renewal, at most 150 ms. The leader tells an entry to renew in 100 ms while a share is short or a target is on its way from or to it. Demand is what was asked for in the last second, not in the last whole one, so that it falls sooner where it has gone.

A new leader grants no growth for one lease, so a shift that begins with the leader's loss starts 2.5 s later. With a cap of 100 and a demand of 78 some requests are still refused: 83 a second can pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,6 +122,7 @@
 	}
 	x.book = burn.New(x.now)
 	x.lease.incarnation = rand.Uint64()
+	x.lease.granted = make(chan struct{})
 	x.pools.init(x.now)
 	x.routes()
 	x.g = group.New(context.Background())
@@ -211,6 +212,15 @@
 	until       time.Duration
 	length      time.Duration
 	grant       uint64
+	// granted is closed when the next grant is in force.
+	granted chan struct{}
+}
+
+// next returns a channel that is closed when the next grant is in force.
+func (l *leaseHold) next() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.granted
 }
 
 // valid tells whether the lease holds at this moment.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -173,9 +173,12 @@
 		}
 		tried.Add(i)
 		s := &sites.List[i]
-		p, wait, ok := x.permit(v.catalogue, j, s)
-		if !ok {
-			last = refused(wait, "a link or shift cap to region %q is full", s.Region)
+		p, d := x.permit(v.catalogue, j, s)
+		if x.awaitShare(ctx, j, d) {
+			p, d = x.permit(v.catalogue, j, s)
+		}
+		if d != nil {
+			last = refused(d.wait, "a link or shift cap to region %q is full", s.Region)
 			continue
 		}
 		r := x.try(ctx, j, s, p)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -28,6 +28,8 @@
 	try uint64
 	// mayHaveRun says that a try ended without an answer.
 	mayHaveRun bool
+	// awaited says that the request has waited for a share.
+	awaited bool
 }
 
 // atMostOnce tells whether the request needs a claim.
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -17,6 +17,36 @@
 type limits struct {
 	mu sync.RWMutex
 	m  map[string]*limit.Window
+
+	short shortage
+}
+
+// shortage is when a share was found too small, and which.
+type shortage struct {
+	mu sync.Mutex
+	at time.Duration
+	// told are the limits that were reported as too small.
+	told map[*limit.Window]int64
+}
+
+// shortageEvery is the least time between two renewals for a share that is too small.
+const shortageEvery = 100 * time.Millisecond
+
+// tell tells whether the leader should hear now that a share is too small. One
+// that did not change since it was told waits for the usual renewal.
+func (s *shortage) tell(w *limit.Window, now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := w.Limit()
+	old, ok := s.told[w]
+	if ok && (now < s.at+shortageEvery || old == n && now < s.at+renewEvery) {
+		return false
+	}
+	if s.told == nil {
+		s.told = map[*limit.Window]int64{}
+	}
+	s.told[w], s.at = n, now
+	return true
 }
 
 func (l *limits) get(name string) *limit.Window {
@@ -96,17 +126,59 @@
 	return w.Wait(n, now), false
 }
 
+// denial is a share that has no room, and after how long it may have.
+type denial struct {
+	w    *limit.Window
+	wait time.Duration
+}
+
+// take takes from a share, and asks for a larger one where it is too small.
+func (x *Entry) take(p *permit, w *limit.Window, n int64, now time.Duration) *denial {
+	wait, ok := p.take(w, n, now)
+	if ok {
+		return nil
+	}
+	if x.limits.short.tell(w, now) {
+		x.kick()
+	}
+	return &denial{w, wait}
+}
+
+// shareWait is how long a request waits where this VM has no share at all.
+const shareWait = 150 * time.Millisecond
+
+// awaitShare waits for the next grant where this VM has had no use for a share
+// so far, once for each request. It tells whether there is one now.
+func (x *Entry) awaitShare(ctx context.Context, j *job, d *denial) bool {
+	if d == nil || d.w.Limit() > 0 || j.awaited {
+		return false
+	}
+	j.awaited = true
+	t := time.NewTimer(shareWait)
+	defer t.Stop()
+	for d.w.Limit() == 0 {
+		select {
+		case <-x.lease.next():
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return false
+		}
+	}
+	return true
+}
+
 // headerBytes is what the headers of a request or an answer take on a link.
 const headerBytes = 512
 
 // permit takes what a request to a site needs of shift caps and links.
-func (x *Entry) permit(c *model.Catalogue, j *job, s *steer.Site) (*permit, time.Duration, bool) {
+func (x *Entry) permit(c *model.Catalogue, j *job, s *steer.Site) (*permit, *denial) {
 	now := x.now()
 	p := &permit{}
 	if s.Region != j.home {
 		for _, k := range c.CapsFor(j.service, j.home, s.Region) {
-			if wait, ok := p.take(x.limits.get(lease.CapResource(k.Name)), 1, now); !ok {
-				return nil, wait, false
+			if d := x.take(p, x.limits.get(lease.CapResource(k.Name)), 1, now); d != nil {
+				return nil, d
 			}
 		}
 	}
@@ -114,31 +186,30 @@
 	if s.Local {
 		to = s.Region
 	}
-	wait, ok := x.takeLink(p, c, j, to)
-	return p, wait, ok
+	return p, x.takeLink(p, c, j, to)
 }
 
 // takeLink takes the bytes of a request and of its expected answer of the link to a region.
-func (x *Entry) takeLink(p *permit, c *model.Catalogue, j *job, to model.RegionID) (time.Duration, bool) {
+func (x *Entry) takeLink(p *permit, c *model.Catalogue, j *job, to model.RegionID) *denial {
 	here, now := c.RegionOf(x.o.Domain), x.now()
 	if to == here {
-		return 0, true
+		return nil
 	}
 	if _, ok := c.Link(here, to); !ok {
 		p.giveBack(now)
-		return defaultRetryAfter, false
+		return &denial{limit.NewWindow(), defaultRetryAfter}
 	}
 	out := x.limits.get(lease.LinkResource(here, to))
-	if wait, ok := p.take(out, int64(len(j.body))+headerBytes, now); !ok {
-		return wait, false
+	if d := x.take(p, out, int64(len(j.body))+headerBytes, now); d != nil {
+		return d
 	}
 	in := x.limits.get(lease.LinkResource(to, here))
 	n := x.sizes.expect(j.service, j.cls) + headerBytes
-	if wait, ok := p.take(in, n, now); !ok {
-		return wait, false
+	if d := x.take(p, in, n, now); d != nil {
+		return d
 	}
 	p.in, p.reserved = in, n-headerBytes
-	return 0, true
+	return nil
 }
 
 // linkUse returns how full the link to a region is.
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -49,8 +49,8 @@
 	if a.permit == nil {
 		a.permit = &permit{}
 		c := x.view.Load().catalogue
-		if wait, ok := x.takeLink(a.permit, c, j, c.RegionOf(a.domain)); !ok {
-			return refused(wait, "the link from the owner to failure domain %q is full", a.domain)
+		if d := x.takeLink(a.permit, c, j, c.RegionOf(a.domain)); d != nil {
+			return refused(d.wait, "the link from the owner to failure domain %q is full", a.domain)
 		}
 	}
 	t, err := p.Enter(q)
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -17,28 +17,26 @@
 
 // renewLoop keeps the lease alive.
 func (x *Entry) renewLoop(ctx context.Context) error {
-	t := time.NewTicker(renewEvery)
-	defer t.Stop()
 	for {
-		if !x.renewOnce(ctx) {
-			sleep(ctx, retryPause)
-			if ctx.Err() != nil {
-				return nil
-			}
-			continue
+		again, ok := x.renewOnce(ctx)
+		if !ok {
+			again = retryPause
 		}
+		t := time.NewTimer(again)
 		select {
+		case <-t.C:
 		case <-ctx.Done():
+			t.Stop()
 			return nil
-		case <-t.C:
 		case <-x.renewNow:
+			t.Stop()
 		}
 	}
 }
 
 // renewOnce asks for one renewal and puts it in force. The lease counts from
-// before the request was sent.
-func (x *Entry) renewOnce(ctx context.Context) bool {
+// before the request was sent. It returns when to renew again.
+func (x *Entry) renewOnce(ctx context.Context) (time.Duration, bool) {
 	if !x.valid() {
 		x.pools.own(nil)
 	}
@@ -49,16 +47,19 @@
 	r, err := x.state.renew(t, q)
 	if err != nil {
 		x.refusal(err)
-		return false
+		return 0, false
 	}
 	if uint64(x.config.version()) < r.Version {
 		if err := x.pullFrom(t, r.Version); err != nil {
 			level.Debug(x.o.Log).Log("msg", "catalogue not pulled", "version", r.Version, "err", err)
-			return false
+			return 0, false
 		}
 	}
 	x.putInForce(r, sent)
-	return true
+	if r.AgainMs > 0 {
+		return min(renewEvery, time.Duration(r.AgainMs)*time.Millisecond), true
+	}
+	return max(0, renewEvery-(x.now()-sent)), true
 }
 
 // duplicateAfter is how long an id that another process holds is asked for again.
@@ -138,6 +139,8 @@
 	x.lease.length = time.Duration(r.LeaseMs) * time.Millisecond
 	x.lease.until = sent + x.lease.length
 	x.lease.grant = r.Grant
+	close(x.lease.granted)
+	x.lease.granted = make(chan struct{})
 }
 
 func targetOf(t *eelpb.TargetReport) pool.Target {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -49,6 +49,8 @@
 	clockRateBound = 50
 	// shareWindow is the window in which rates are counted, with the jitter of deliveries.
 	shareWindow = 1200 * time.Millisecond
+	// soon is when an entry renews that waits for something.
+	soon = 100 * time.Millisecond
 	// targetLife is how long a target that no entry reports is remembered.
 	targetLife = 10 * time.Second
 )
@@ -140,12 +142,26 @@
 	g.grant++
 	a := &eelpb.RenewReply{LeaseMs: g.length.Milliseconds(), Grant: g.grant, Version: uint64(c.Version)}
 	a.Owned = g.ownedBy(v, r, now)
-	a.Shares = g.share(v, r, c, now)
+	var short bool
+	a.Shares, short = g.share(v, r, c, now)
+	if short || g.moving(v) {
+		a.AgainMs = soon.Milliseconds()
+	}
 	a.Owners = g.ownersOf(r)
 	g.dir.fill(a, r.Directory)
 	return a, nil
 }
 
+// moving tells whether a target is on its way from or to a VM.
+func (g *Grantor) moving(v *vm) bool {
+	for _, t := range g.targets {
+		if t.leavingIn != 0 && (t.owner == v.id || t.next == v.id) {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Grantor) admit(r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (*vm, error) {
 	const op = "lease.Renew"
 	id := model.VMID(r.Vm)
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -355,3 +355,38 @@
 	assert.Assert(t, len(held["a"]) > 0 && len(held["b"]) > 0, "%v", held)
 	assert.Equal(t, len(held["a"])+len(held["b"]), len(targets))
 }
+
+// A VM that alone has demand gets what it needs at its next renewal: what
+// others do not use is not granted to them.
+func TestShareAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		vms    int
+		demand int64
+		least  int64
+	}{
+		{"a tenth of the cap", 10, 10, 10},
+		{"most of the cap", 10, 80, 80},
+		{"all of the cap, many VMs", 40, 200, 100},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := catalogue(t)
+			g := New(Options{}, 0, 1)
+			now := time.Minute
+			for i := range tt.vms {
+				_, err := g.Renew(renewal(fmt.Sprintf("vm%d", i)), c, now)
+				assert.NilError(t, err)
+			}
+			q := renewal("vm0")
+			q.Demands = []*eelpb.Share{{Resource: capName, Amount: tt.demand}}
+			a, err := g.Renew(q, c, now+time.Millisecond)
+			assert.NilError(t, err)
+			for _, s := range a.Shares {
+				if s.Resource == capName {
+					assert.Assert(t, s.Amount >= tt.least, "share is %d", s.Amount)
+				}
+			}
+		})
+	}
+}
--- a/internal/lease/share.go
+++ b/internal/lease/share.go
@@ -11,8 +11,13 @@
 // controlPart divides a link to give what is kept free for control.
 const controlPart = 20
 
-// idleDemand is the demand that a VM without any is counted with, as a part of the capacity.
-const idleDemand = 50
+const (
+	// idleDemand divides a capacity to give what a VM without demand may get.
+	idleDemand = 200
+	// demandSlack is how many times its demand a VM may get. What is left is
+	// granted to no VM, so that another one can have it without waiting.
+	demandSlack = 2
+)
 
 // LinkResource names one direction of a link.
 func LinkResource(from, to model.RegionID) string {
@@ -70,11 +75,11 @@
 	return m
 }
 
-// share divides each resource anew for one VM.
-func (g *Grantor) share(v *vm, r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) []*eelpb.Share {
+// share divides each resource anew for one VM. It also tells whether the VM
+// would get more of one if others had given theirs back.
+func (g *Grantor) share(v *vm, r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (list []*eelpb.Share, short bool) {
 	demands := byName(r.Demands)
 	reported := byName(r.Shares)
-	var out []*eelpb.Share
 	for name, capacity := range capacities(c) {
 		s, ok := g.shares[name]
 		if !ok {
@@ -87,9 +92,10 @@
 			limit = reported[name]
 		}
 		n := s.grant(v.id, demands[name], limit, r.SeenGrant, g.grant, now)
-		out = append(out, &eelpb.Share{Resource: name, Amount: n})
+		list = append(list, &eelpb.Share{Resource: name, Amount: n})
+		short = short || n < min(demands[name], s.fair(s.granted[v.id]))
 	}
-	return out
+	return list, short
 }
 
 func byName(s []*eelpb.Share) map[string]int64 {
@@ -132,14 +138,21 @@
 	}
 }
 
-// fair returns the VM's part of the capacity by its demand.
+// wish returns what a VM would get if there were enough for all.
+func (s *resource) wish(h *holding) int64 {
+	return demandSlack*h.demand + s.capacity/idleDemand
+}
+
+// fair returns the VM's wish, or its part of the capacity where there is not enough for all.
 func (s *resource) fair(h *holding) int64 {
-	idle := s.capacity/idleDemand + 1
 	total := int64(0)
 	for _, x := range s.granted {
-		total += x.demand + idle
+		total += s.wish(x)
+	}
+	if total <= s.capacity {
+		return s.wish(h)
 	}
-	return int64(float64(s.capacity) * float64(h.demand+idle) / float64(total))
+	return int64(float64(s.capacity) * float64(s.wish(h)) / float64(total))
 }
 
 // free returns the capacity that no other VM may be using.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -31,8 +31,8 @@
 	sum    int64
 	head   int64
 	denied int64
-	seen   [2]int64
-	tick   int64
+	// asked counts what was asked for, whether or not it was taken.
+	asked [slots]int64
 }
 
 // NewWindow returns a window with a limit of 0.
@@ -57,37 +57,22 @@
 func (w *Window) advance(now time.Duration) {
 	at := int64(now / slotLength)
 	if at-w.head >= slots {
-		w.used, w.sum, w.head = [slots]int64{}, 0, at
+		w.used, w.asked, w.sum, w.head = [slots]int64{}, [slots]int64{}, 0, at
 		return
 	}
 	for w.head < at {
 		w.head++
 		w.sum -= w.used[w.head%slots]
-		w.used[w.head%slots] = 0
+		w.used[w.head%slots], w.asked[w.head%slots] = 0, 0
 	}
 }
 
-// rollDemand starts a new second of demand.
-func (w *Window) rollDemand(now time.Duration) {
-	s := int64(now / time.Second)
-	if s == w.tick {
-		return
-	}
-	if s > w.tick+1 {
-		w.seen[0] = 0
-	} else {
-		w.seen[0] = w.seen[1]
-	}
-	w.seen[1], w.tick = 0, s
-}
-
 // Take takes n if the window has room for it.
 func (w *Window) Take(n int64, now time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	w.rollDemand(now)
-	w.seen[1] += n
+	w.asked[w.head%slots] += n
 	if w.sum+n > w.limit {
 		w.denied++
 		return false
@@ -123,12 +108,19 @@
 	return min(1, float64(w.sum)/float64(w.limit))
 }
 
-// Demand returns what was asked for in the last whole second or in this one.
+// slotsPerSecond is how many slots make a second.
+const slotsPerSecond = int64(time.Second / slotLength)
+
+// Demand returns what was asked for in the last second.
 func (w *Window) Demand(now time.Duration) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.rollDemand(now)
-	return max(w.seen[0], w.seen[1])
+	w.advance(now)
+	sum := int64(0)
+	for i := range slotsPerSecond {
+		sum += w.asked[(w.head-i+slots)%slots]
+	}
+	return sum
 }
 
 // Wait returns after how long n may fit, at most Length.
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,55 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestDemand(t *testing.T) {
+	tests := []struct {
+		name string
+		now  time.Duration
+		want int64
+	}{
+		{"at once", 100 * time.Millisecond, 10},
+		{"later in the second", 900 * time.Millisecond, 10},
+		{"after the second", 1150 * time.Millisecond, 0},
+		{"long after", time.Hour, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := NewWindow()
+			w.SetLimit(4)
+			for range 10 {
+				w.Take(1, 100*time.Millisecond)
+			}
+			assert.Equal(t, w.Demand(tt.now), tt.want)
+		})
+	}
+}
+
+// No second of any position sees more than the limit, whatever is asked for and given back.
+func TestWindow(t *testing.T) {
+	const limit, steps = 50, 20_000
+	rnd := rand.New(rand.NewPCG(1, 1))
+	w := NewWindow()
+	w.SetLimit(limit)
+	var at []time.Duration
+	now := time.Duration(0)
+	for range steps {
+		now += time.Duration(rnd.ExpFloat64() * float64(5*time.Millisecond))
+		if w.Take(1, now) {
+			at = append(at, now)
+		}
+	}
+	from := 0
+	for i := range at {
+		for at[i]-at[from] >= time.Second {
+			from++
+		}
+		assert.Assert(t, i-from+1 <= limit, "%d in the second to %s", i-from+1, at[i])
+	}
+}
