--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -192,11 +192,11 @@
 	assert.Assert(t, fault.Is(err, KindUnsafe), "replica 3 has not answered yet: %v", err)
 }
 
-// entriesTo counts the entries that a Ready sends to a replica.
-func entriesTo(d Ready, id uint64) int {
+// entriesTo counts the entries that a Ready sends to replica 2.
+func entriesTo(d Ready) int {
 	n := 0
 	for _, m := range d.Messages {
-		if m.To == id {
+		if m.To == 2 {
 			n += len(m.Entries)
 		}
 	}
@@ -220,7 +220,7 @@
 		m.Reject, m.Hint, m.LogIndex, m.SentAt = true, 2, uint64(3+i), int64(long)+int64(i)*int64(time.Millisecond)
 		r.Step(m, now+time.Duration(i)*time.Millisecond)
 		d := r.Ready()
-		sent += entriesTo(d, 2)
+		sent += entriesTo(d)
 		r.Advance(d)
 	}
 	assert.Equal(t, sent, proposals+1)
@@ -233,20 +233,20 @@
 	m := from(2, eelpb.MessageKind_MESSAGE_APPEND_REPLY, uint64(r.Term()))
 	m.Reject, m.Hint, m.LogIndex, m.SentAt = true, 2, 3, int64(long)
 	r.Step(m, long)
-	assert.Equal(t, entriesTo(r.Ready(), 2), 1)
+	assert.Equal(t, entriesTo(r.Ready()), 1)
 	for i := range 5 {
 		_, err := r.Propose([]byte("x"))
 		assert.NilError(t, err)
 		d := r.Ready()
-		assert.Equal(t, entriesTo(d, 2), 0)
+		assert.Equal(t, entriesTo(d), 0)
 		r.Advance(d)
 		m := from(2, eelpb.MessageKind_MESSAGE_APPEND_REPLY, uint64(r.Term()))
 		m.Reject, m.Hint, m.LogIndex, m.SentAt = true, 2, 3, int64(long)-1
 		r.Step(m, long+time.Duration(i)*time.Millisecond)
-		assert.Equal(t, entriesTo(r.Ready(), 2), 0)
+		assert.Equal(t, entriesTo(r.Ready()), 0)
 	}
 	follows(r, 3, long, long+10*time.Millisecond)
-	assert.Equal(t, entriesTo(r.Ready(), 2), 5)
+	assert.Equal(t, entriesTo(r.Ready()), 5)
 }
 
 // appendOf returns an append message of the leader, replica 2, with one entry.
