Count an answer in its link's window until it has come

Cause: the new Script/remote, a region without an entry whose targets are served from other regions, saw 409,912 bytes in a second of a link of 400,000 straight from a target, and 402,958 from an owner to a front. An answer's bytes were counted when its request was sent; targets and full links delay answers, so those of two seconds came within one. An owner never saw the sizes of answers that it read itself, and assumed 4 KiB for answers of 20,000 bytes.

Excluded: shares that add up to more than the capacity (one VM alone exceeded it; TestRandomGrants); control traffic (replicas are not counted there).

Change: limit.Window holds the bytes of an expected answer until it has come or cannot come, and counts what was used for one window after that.

The price is throughput of a full link: bytes count for the time of the answer and 1.2 s, not 1.2 s alone.

--- a/cmd/eelfake/round.go
+++ b/cmd/eelfake/round.go
@@ -24,6 +24,7 @@
 	Algorithm   string        `long:"algorithm" description:"algorithm of all policies instead of the example's"`
 	Fault       string        `long:"fault" description:"what the first target does from a third on: slow, shed, lie, mute, cut, drop, mixUp"`
 	DrainRegion string        `long:"drain-region" description:"region to drain from a third on"`
+	Hot         int           `long:"hot" default:"1" description:"how many times as many callers the first region has as any other"`
 	LoseRegion  string        `long:"lose-region" description:"region that is cut off in the middle third"`
 	SwapTo      string        `long:"swap-to" description:"algorithm of all policies from a half on"`
 	ColdRuns    int           `long:"cold-runs" default:"0" description:"how many requests a target is cold for after its start or its region's return"`
@@ -52,7 +53,7 @@
 		Firm: firm, Load: c.Load, Length: c.Length, Seed: c.Seed, Dir: dir, Net: c.Net, ServiceTime: c.ServiceTime,
 		AnswerBytes: c.AnswerBytes, Resends: c.Resends, Algorithm: model.Algorithm(c.Algorithm), Fault: fakes.Fault(c.Fault),
 		DrainRegion: model.RegionID(c.DrainRegion), LoseRegion: model.RegionID(c.LoseRegion), SwapTo: model.Algorithm(c.SwapTo),
-		ColdRuns: c.ColdRuns, Log: l,
+		ColdRuns: c.ColdRuns, Hot: c.Hot, Log: l,
 	})
 	if err != nil {
 		return err
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -37,7 +37,7 @@
 		len(d.Nodes), len(d.Entries), len(d.Targets), o.Length, o.Seed)
 	room := NewHeadroom(d)
 	g := group.New(ctx)
-	g.Every(time.Second/10, func(context.Context) { room.Look() })
+	g.Every(LookEvery, func(context.Context) { room.Look() })
 	g.Go(func(ctx context.Context) error { return swapHalfWay(ctx, d, o) })
 	clients := d.Callers()
 	results := fakes.Load(ctx, fakes.LoadOptions{Seed: o.Seed, Length: o.Length, Streams: o.Streams, Clients: clients, Prefix: "demo"})
@@ -138,15 +138,21 @@
 	}
 }
 
-// Headroom keeps the least spare slots that each region had.
+// LookEvery is how often the spare slots are looked at.
+const LookEvery = time.Second / looksPerSecond
+
+const looksPerSecond = 20
+
+// Headroom keeps the least spare slots that each region had, as means over one second.
 type Headroom struct {
-	d     *Deployment
-	least map[model.RegionID]float64
+	d      *Deployment
+	recent map[model.RegionID][]float64
+	least  map[model.RegionID]float64
 }
 
 // NewHeadroom returns a record without any look.
 func NewHeadroom(d *Deployment) *Headroom {
-	return &Headroom{d: d, least: map[model.RegionID]float64{}}
+	return &Headroom{d: d, recent: map[model.RegionID][]float64{}, least: map[model.RegionID]float64{}}
 }
 
 // Look takes the spare slots of this moment.
@@ -158,10 +164,26 @@
 		used[r] += int(t.Stats().InFlight)
 	}
 	for r, n := range all {
-		spare := 1 - float64(used[r])/float64(n)
-		if old, ok := h.least[r]; !ok || spare < old {
-			h.least[r] = spare
-		}
+		h.add(r, 1-float64(used[r])/float64(n))
+	}
+}
+
+func (h *Headroom) add(r model.RegionID, spare float64) {
+	l := append(h.recent[r], spare)
+	if len(l) > looksPerSecond {
+		l = l[1:]
+	}
+	h.recent[r] = l
+	if len(l) < looksPerSecond {
+		return
+	}
+	sum := 0.0
+	for _, x := range l {
+		sum += x
+	}
+	mean := sum / looksPerSecond
+	if old, ok := h.least[r]; !ok || mean < old {
+		h.least[r] = mean
 	}
 }
 
@@ -170,7 +192,7 @@
 }
 
 func (h *Headroom) write(w io.Writer) {
-	fmt.Fprintln(w, "\nREGION\tLEAST SPARE SLOTS (looked at ten times a second)")
+	fmt.Fprintln(w, "\nREGION\tLEAST SPARE SLOTS IN ANY SECOND")
 	for _, r := range slices.Sorted(maps.Keys(h.least)) {
 		fmt.Fprintf(w, "%s\t%.0f%%\n", r, 100*h.least[r])
 	}
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -214,6 +214,7 @@
 	} else {
 		r = x.forward(ctx, j, s, shifted, p)
 	}
+	p.finish(r, x.now())
 	r.shifted, r.headroom = shifted, free
 	if r.kind == verdictAnswered {
 		x.sizes.observe(j.service, j.cls, int64(len(r.answer.body)))
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -35,7 +35,6 @@
 // own takes a slot of an own target and dispatches the request to it.
 func (x *Entry) own(ctx context.Context, j *job, a ownerAsk) verdict {
 	asked := x.now()
-	p := x.pools.get(j.service)
 	q := pool.Ask{Deadline: j.deadline, MaxQueued: j.cls.MaxQueued, Domain: a.domain}
 	if j.cls.Delivery == model.Deferrable {
 		q.Priority = pool.Deferred
@@ -49,10 +48,19 @@
 	if a.permit == nil {
 		a.permit = &permit{}
 		c := x.view.Load().catalogue
-		if d := x.takeLink(a.permit, c, j, c.RegionOf(a.domain)); d != nil {
+		if d := x.takeLink(a.permit, c, j, c.RegionOf(a.domain), true); d != nil {
 			return refused(d.wait, "the link from the owner to failure domain %q is full", a.domain)
 		}
+		r := x.admit(ctx, j, a, q, asked)
+		a.permit.finish(r, x.now())
+		return r
 	}
+	return x.admit(ctx, j, a, q, asked)
+}
+
+// admit waits for a slot and dispatches the request.
+func (x *Entry) admit(ctx context.Context, j *job, a ownerAsk, q pool.Ask, asked time.Duration) verdict {
+	p := x.pools.get(j.service)
 	t, err := p.Enter(q)
 	if err != nil {
 		return refusedBy(p, err)
@@ -143,6 +151,7 @@
 	if err != nil {
 		return broken("target %q: %v", t.ID, err), pool.Broken
 	}
+	x.sizes.observe(j.service, j.cls, int64(len(b)))
 	w := &answer{status: res.StatusCode, contentType: res.Header.Get("Content-Type"), body: b}
 	return verdict{kind: verdictAnswered, answer: w}, pool.Good
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -25,8 +25,10 @@
 
 // Window counts what was taken in the last Length. It is safe for concurrent use.
 type Window struct {
-	mu     sync.Mutex
-	limit  int64
+	mu    sync.Mutex
+	limit int64
+	// held is what may be used at any moment from now on.
+	held   int64
 	used   [slots]int64
 	sum    int64
 	head   int64
@@ -73,7 +75,7 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	w.asked[w.head%slots] += n
-	if w.sum+n > w.limit {
+	if w.sum+w.held+n > w.limit {
 		w.denied++
 		return false
 	}
@@ -81,6 +83,30 @@
 	return true
 }
 
+// Hold reserves n for something whose time is not known, such as an answer: it
+// counts in every window until it is released.
+func (w *Window) Hold(n int64, now time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.asked[w.head%slots] += n
+	if w.sum+w.held+n > w.limit {
+		w.denied++
+		return false
+	}
+	w.held += n
+	return true
+}
+
+// Release ends a hold, of which a part was used at some time until now.
+func (w *Window) Release(held, used int64, now time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	w.held -= held
+	w.add(used)
+}
+
 func (w *Window) add(n int64) {
 	w.used[w.head%slots] += n
 	w.sum += n
@@ -105,7 +131,7 @@
 	if w.limit <= 0 {
 		return 1
 	}
-	return min(1, float64(w.sum)/float64(w.limit))
+	return min(1, float64(w.sum+w.held)/float64(w.limit))
 }
 
 // slotsPerSecond is how many slots make a second.
@@ -128,7 +154,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	free := w.limit - w.sum
+	free := w.limit - w.sum - w.held
 	for i := int64(1); i <= slots; i++ {
 		if free >= n {
 			return time.Duration(i-1) * slotLength
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -53,3 +53,32 @@
 		assert.Assert(t, i-from+1 <= limit, "%d in the second to %s", i-from+1, at[i])
 	}
 }
+
+// What is held counts until it is released, and for a window after.
+func TestHold(t *testing.T) {
+	const limit = 10
+	tests := []struct {
+		name string
+		held int64
+		used int64
+		at   time.Duration
+		want int64
+	}{
+		{"held for long", 6, -1, time.Minute, 4},
+		{"used just now", 6, 6, Length / 2, 4},
+		{"used a window ago", 6, 6, time.Minute, 10},
+		{"partly used just now", 6, 2, Length / 2, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := NewWindow()
+			w.SetLimit(limit)
+			assert.Assert(t, w.Hold(tt.held, 0))
+			if tt.used >= 0 {
+				w.Release(tt.held, tt.used, 0)
+			}
+			assert.Assert(t, !w.Take(tt.want+1, tt.at))
+			assert.Assert(t, w.Take(tt.want, tt.at))
+		})
+	}
+}
--- a/internal/round/round.go
+++ b/internal/round/round.go
@@ -85,6 +85,8 @@
 	Fault fakes.Fault
 	// DrainRegion is drained from a third of the round on.
 	DrainRegion model.RegionID
+	// Hot is how many times as many callers the first region has as any other; 0 means 1.
+	Hot int
 	// LoseRegion is cut off from all others, callers too, in the middle third.
 	LoseRegion model.RegionID
 	// SwapTo is the algorithm of all policies from a half on.
@@ -106,7 +108,7 @@
 	Classes  []Class                     `json:"classes"`
 	// Goodput is the answers in time by service, as a part of the capacity.
 	Goodput map[model.ServiceID]float64 `json:"goodput"`
-	// RegionHeadroom is the least spare part of each region's slots.
+	// RegionHeadroom is the least spare part of each region's slots in any second.
 	RegionHeadroom map[model.RegionID]float64 `json:"regionHeadroom"`
 	// LinkHeadroom is the least spare part of each link in any second.
 	LinkHeadroom map[string]float64 `json:"linkHeadroom"`
@@ -192,9 +194,9 @@
 func measure(ctx context.Context, d *demo.Deployment, o Options) (*Result, error) {
 	room := demo.NewHeadroom(d)
 	g := group.New(ctx)
-	g.Every(time.Second/20, func(context.Context) { room.Look() })
+	g.Every(demo.LookEvery, func(context.Context) { room.Look() })
 	g.Go(func(ctx context.Context) error { return disturb(ctx, d, o) })
-	clients := d.Callers()
+	clients := o.callers(d)
 	streams := o.streams()
 	from := time.Now()
 	list := fakes.Load(ctx, fakes.LoadOptions{Seed: o.Seed, Length: o.Length, Streams: streams, Clients: clients, Prefix: "round"})
@@ -223,6 +225,16 @@
 	return r, nil
 }
 
+// callers returns the callers that requests come from in turn.
+func (o Options) callers(d *demo.Deployment) []*caller.Client {
+	all := d.Callers()
+	first := all[0]
+	for range o.Hot - 1 {
+		all = append(all, first)
+	}
+	return all
+}
+
 func closeAll(clients []*caller.Client) {
 	for _, c := range clients {
 		c.Close()
--- a/internal/script/doc.go
+++ b/internal/script/doc.go
@@ -17,6 +17,7 @@
 //	halt NAME...                   planned stop; fails if the process does not end well
 //	crash NAME... | freeze NAME... | thaw NAME...
 //	cut NAME NAME... | heal NAME NAME...   lose silently what the first and the others send each other
+//	lose NAME... | return NAME...  cut processes off from all others, but not from each other
 //	old leader                     call the present leader "old" from now on
 //	cutoff REPLICA | rejoin REPLICA   cut a replica off from the others
 //	changes N                      make N changes of the catalogue
