Give each process of a scenario a process group of its own

Cause: Script/replace failed once: a frozen replica had ended when it was to be thawed. When a shell that started the tests in the background ends, the group of the tests is orphaned, and the system hangs up its stopped processes. Reproduced: a scenario with a replica frozen for 6 s, its starting shell ended after 4 s, failed in the same way, and passes with a group for each process.

Change: Setpgid for the processes of scenarios; a signal that fails shows how the process ended and its log.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -289,3 +289,17 @@
 		})
 	}
 }
+
+// A message that waited for entries which a snapshot brought is forgotten.
+func TestOvertakenBySnapshot(t *testing.T) {
+	r := replica(&eelpb.HardState{Term: 1}, 1)
+	r.Step(appendOf(10), long)
+	m := from(2, eelpb.MessageKind_MESSAGE_SNAPSHOT, 1)
+	m.Snapshot = &eelpb.Snapshot{Index: 20, Term: 1, Membership: three()}
+	r.Step(m, long)
+	r.Tick(long + 2*earlyWait)
+	for _, m := range r.Ready().Messages {
+		assert.Assert(t, !m.Reject)
+	}
+	assert.Equal(t, r.LastIndex(), Index(20))
+}
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -205,6 +205,7 @@
 	answer := &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_APPEND_REPLY, SentAt: m.SentAt}
 	if Index(s.Index) > r.log.commit {
 		r.log.restore(s)
+		r.early = early{}
 		r.members = r.log.membership()
 		r.snapDirty = s
 	}
--- a/internal/script/cmds_test.go
+++ b/internal/script/cmds_test.go
@@ -37,6 +37,7 @@
 		"leader": printing((*deployment).leader), "get": printing((*deployment).get1),
 		"load": cmdLoad, "loadwait": cmdLoadWait, "expect": cmdExpect, "never": cmdNever, "sleep": cmdSleep, "check": cmdCheck, "drain": cmdDrain,
 		"old": cmdOld, "changes": cmdChanges, "race": cmdRace, "exits": cmdExits, "twin": cmdTwin, "logsize": cmdLogSize,
+		"cost": cmdCost,
 	}
 }
 
@@ -125,14 +126,27 @@
 
 func (d *deployment) freeze(p *process) error {
 	p.frozen = true
-	return p.cmd.Process.Signal(syscall.SIGSTOP)
+	return d.signal(p, syscall.SIGSTOP)
 }
 
 func (d *deployment) thaw(p *process) error {
 	p.frozen = false
-	return p.cmd.Process.Signal(syscall.SIGCONT)
+	return d.signal(p, syscall.SIGCONT)
 }
 
+// signal sends a signal, and tells how a process has ended that should run.
+func (d *deployment) signal(p *process, s os.Signal) error {
+	err := p.cmd.Process.Signal(s)
+	if err == nil {
+		return nil
+	}
+	b, _ := os.ReadFile(filepath.Join(d.dir, p.name+".log"))
+	return fmt.Errorf("%s: %w (%v); end of its log:\n%s", p.name, err, p.cmd.ProcessState, b[max(0, len(b)-logTail):])
+}
+
+// logTail is how many bytes of a log a failure shows.
+const logTail = 4000
+
 func cmdCut(cut bool) cmdFunc {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
 		need(ts, args, 2, "cut NAME NAME...")
--- a/internal/script/deploy_test.go
+++ b/internal/script/deploy_test.go
@@ -122,6 +122,8 @@
 	}
 	p.log = f
 	p.cmd = exec.Command(filepath.Join(binaries, p.program), p.args...)
+	// A frozen process would be hung up with the test's own group when a shell ends.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	p.cmd.Stdout, p.cmd.Stderr = f, f
 	p.cmd.Env = append(os.Environ(), "EEL_KEY="+sharedKey, "EEL_ADMIN_TOKEN="+adminToken, "EEL_LOG_LEVEL=debug")
 	if err := p.cmd.Start(); err != nil {
