Leave out of renewals what did not change

Cause: the new Script/cost measures what an idle entry of ten spends on control against the users' bounds: 2,678 bytes a second of 2,000. Each renewal named all targets that the entry hears, and each reply all that it owns, their owners, and a share of every link.

Change: both sides name unchanged targets by a digest; a leader that does not know the digest asks for all before it grants anything. Shares are granted only of links that touch the VM's region, and only where there is demand.

--- a/cmd/eelfake/round.go
+++ b/cmd/eelfake/round.go
@@ -22,6 +22,7 @@
 	AnswerBytes int           `long:"answer-bytes" default:"2000" description:"size of answers"`
 	Resends     int           `long:"resends" default:"0" description:"how often a request is sent again after notRun"`
 	Algorithm   string        `long:"algorithm" description:"algorithm of all policies instead of the example's"`
+	Hedge       time.Duration `long:"hedge" description:"after how long an idempotent request goes to a second site; 0 means never"`
 	Fault       string        `long:"fault" description:"what the first target does from a third on: slow, shed, lie, mute, cut, drop, mixUp"`
 	DrainRegion string        `long:"drain-region" description:"region to drain from a third on"`
 	Hot         int           `long:"hot" default:"1" description:"how many times as many callers the first region has as any other"`
@@ -53,7 +54,7 @@
 		Firm: firm, Load: c.Load, Length: c.Length, Seed: c.Seed, Dir: dir, Net: c.Net, ServiceTime: c.ServiceTime,
 		AnswerBytes: c.AnswerBytes, Resends: c.Resends, Algorithm: model.Algorithm(c.Algorithm), Fault: fakes.Fault(c.Fault),
 		DrainRegion: model.RegionID(c.DrainRegion), LoseRegion: model.RegionID(c.LoseRegion), SwapTo: model.Algorithm(c.SwapTo),
-		ColdRuns: c.ColdRuns, Hot: c.Hot, Log: l,
+		ColdRuns: c.ColdRuns, Hot: c.Hot, Hedge: c.Hedge, Log: l,
 	})
 	if err != nil {
 		return err
--- a/internal/demo/show.go
+++ b/internal/demo/show.go
@@ -69,13 +69,11 @@
 // Catalogue returns the catalogue that the deployment started with.
 func (d *Deployment) Catalogue() *model.Catalogue { return d.c }
 
-// Callers returns one caller in each region.
+// Callers returns one caller in each region, in the order of their names.
 func (d *Deployment) Callers() []*caller.Client {
 	var out []*caller.Client
-	for _, o := range d.c.Objects {
-		if o.Kind == model.ObjectRegion {
-			out = append(out, caller.New(caller.Options{Entries: d.Addrs, Region: model.RegionID(o.Name)}))
-		}
+	for _, r := range slices.Sorted(maps.Keys(d.c.Regions)) {
+		out = append(out, caller.New(caller.Options{Entries: d.Addrs, Region: r}))
 	}
 	return out
 }
@@ -169,16 +167,15 @@
 }
 
 func (h *Headroom) add(r model.RegionID, spare float64) {
-	l := append(h.recent[r], spare)
-	if len(l) > looksPerSecond {
-		l = l[1:]
+	h.recent[r] = append(h.recent[r], spare)
+	if extra := len(h.recent[r]) - looksPerSecond; extra > 0 {
+		h.recent[r] = h.recent[r][extra:]
 	}
-	h.recent[r] = l
-	if len(l) < looksPerSecond {
+	if len(h.recent[r]) < looksPerSecond {
 		return
 	}
 	sum := 0.0
-	for _, x := range l {
+	for _, x := range h.recent[r] {
 		sum += x
 	}
 	mean := sum / looksPerSecond
--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -80,6 +81,7 @@
 			Draining: h.a.State == wire.Draining, Ready: h.a.State == wire.Ready,
 		})
 	}
+	slices.SortFunc(out, func(a, b *eelpb.TargetReport) int { return strings.Compare(a.Id, b.Id) })
 	return out
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -107,6 +107,7 @@
 	shifts    shiftMeters
 	rests     rests
 	refusals  refusals
+	last      lastRenewal
 }
 
 // New starts an entry.
--- a/internal/entry/front.go
+++ b/internal/entry/front.go
@@ -155,43 +155,6 @@
 	return r
 }
 
-// trySites sends a request to one site after the other, within the retry
-// budget, until one answers or none is left.
-func (x *Entry) trySites(ctx context.Context, v *view, j *job) verdict {
-	if !x.valid() {
-		return refused(defaultRetryAfter, "entry holds no lease")
-	}
-	x.budget.Earn()
-	sites := v.table.Sites(j.service)
-	last := refused(defaultRetryAfter, "no site of service %q has a ready target", j.service)
-	var tried steer.Tried
-	turn := x.turn.Add(1)
-	for j.try < maxTries {
-		i := steer.Choose(steer.Query{Policy: j.policy, Home: j.home, Now: x.now(), Turn: turn}, sites, &tried)
-		if i < 0 {
-			return last
-		}
-		tried.Add(i)
-		s := &sites.List[i]
-		p, d := x.permit(v.catalogue, j, s)
-		if x.awaitShare(ctx, j, d) {
-			p, d = x.permit(v.catalogue, j, s)
-		}
-		if d != nil {
-			last = refused(d.wait, "a link or shift cap to region %q is full", s.Region)
-			continue
-		}
-		r := x.try(ctx, j, s, p)
-		j.try++
-		j.mayHaveRun = j.mayHaveRun || r.kind == verdictBroken
-		if !x.again(ctx, j, r) {
-			return r
-		}
-		last = r
-	}
-	return last
-}
-
 // again tells whether a request may be sent to another site.
 func (x *Entry) again(ctx context.Context, j *job, r verdict) bool {
 	if ctx.Err() != nil {
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -87,7 +87,9 @@
 	l.mu.RLock()
 	defer l.mu.RUnlock()
 	for n, w := range l.m {
-		shares = append(shares, &eelpb.Share{Resource: n, Amount: w.Limit()})
+		if a := w.Limit(); a > 0 {
+			shares = append(shares, &eelpb.Share{Resource: n, Amount: a})
+		}
 		if d := w.Demand(now); d > 0 {
 			demands = append(demands, &eelpb.Share{Resource: n, Amount: d})
 		}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/lease"
 	"github.com/eelgrassroad/eelgrassroad/internal/pool"
 	"github.com/eelgrassroad/eelgrassroad/internal/steer"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
@@ -49,6 +50,11 @@
 		x.refusal(err)
 		return 0, false
 	}
+	if r.WantTargets {
+		x.last.targets = 0
+		return 0, true
+	}
+	x.last.targets = q.TargetsDigest
 	if uint64(x.config.version()) < r.Version {
 		if err := x.pullFrom(t, r.Version); err != nil {
 			level.Debug(x.o.Log).Log("msg", "catalogue not pulled", "version", r.Version, "err", err)
@@ -107,7 +113,8 @@
 	x.lease.mu.Unlock()
 	q.Version = uint64(x.config.version())
 	q.Directory = x.directory.version()
-	q.Targets = x.heard.reports(x.now())
+	x.reportTargets(q)
+	q.HoldsDigest = x.last.holds.GetHoldsDigest()
 	q.Shares, q.Demands = x.limits.report(x.now())
 	x.pools.each(func(s model.ServiceID, p *pool.Pool) {
 		for _, id := range p.Held() {
@@ -123,7 +130,32 @@
 	return q
 }
 
+// lastRenewal is what need not be sent again while it is the same. Only the
+// renewals use it.
+type lastRenewal struct {
+	// targets is the digest of the targets that the leader knows.
+	targets uint64
+	// holds is the reply whose targets are in force.
+	holds *eelpb.RenewReply
+}
+
+// reportTargets names the targets that were heard, or only their digest where
+// the leader knows them.
+func (x *Entry) reportTargets(q *eelpb.RenewRequest) {
+	t := x.heard.reports(x.now())
+	q.TargetsDigest = lease.TargetsDigest(t)
+	if q.TargetsDigest != 0 && q.TargetsDigest == x.last.targets {
+		q.TargetsSame = true
+		return
+	}
+	q.Targets = t
+}
+
 func (x *Entry) putInForce(r *eelpb.RenewReply, sent time.Duration) {
+	if r.HoldsSame {
+		r.Owned, r.Owners = x.last.holds.Owned, x.last.holds.Owners
+	}
+	x.last.holds = r
 	x.limits.set(r.Shares)
 	owned := map[model.ServiceID][]pool.Target{}
 	for _, t := range r.Owned {
--- a/internal/lease/bench_test.go
+++ b/internal/lease/bench_test.go
@@ -38,11 +38,8 @@
 				q.Sites[0].InFlight = uint32(i % 18)
 				a, err := g.Renew(q, c, now)
 				assert.NilError(b, err)
-				q.SeenGrant, q.Directory, q.Held = a.Grant, a.Directory, nil
-				for _, t := range a.Owned {
-					q.Held = append(q.Held, t.Id)
-				}
 				bytes += proto.Size(q) + proto.Size(a)
+				answer(q, a)
 				now += renewPeriod / time.Duration(n)
 				i++
 			}
@@ -51,5 +48,20 @@
 	}
 }
 
+// answer makes the next renewal of a VM as an entry makes it.
+func answer(q *eelpb.RenewRequest, a *eelpb.RenewReply) {
+	q.SeenGrant, q.Directory = a.Grant, a.Directory
+	if !q.TargetsSame {
+		q.TargetsSame, q.TargetsDigest, q.Targets = true, TargetsDigest(q.Targets), nil
+	}
+	if a.HoldsSame {
+		return
+	}
+	q.HoldsDigest, q.Held = a.HoldsDigest, nil
+	for _, t := range a.Owned {
+		q.Held = append(q.Held, t.Id)
+	}
+}
+
 // renewPeriod is the time between two renewals of a VM.
 const renewPeriod = 500 * time.Millisecond
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -23,6 +23,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
@@ -83,7 +84,10 @@
 	leaving     bool
 	expires     time.Duration
 	sites       []*eelpb.SiteLoad
-	owned       map[model.TargetID]*target
+	// reported are the targets of the last report, which has the digest.
+	reported []model.TargetID
+	digest   uint64
+	owned    map[model.TargetID]*target
 }
 
 type target struct {
@@ -124,11 +128,14 @@
 // Renew takes an entry's report and returns what it may rely on.
 func (g *Grantor) Renew(r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (*eelpb.RenewReply, error) {
 	g.expire(now)
+	if !g.knows(r) {
+		return &eelpb.RenewReply{WantTargets: true}, nil
+	}
 	v, err := g.admit(r, c, now)
 	if err != nil {
 		return nil, err
 	}
-	g.hear(r, now)
+	g.hear(v, r, now)
 	g.release(v, r)
 	if r.Closing {
 		g.drop(v, now)
@@ -147,11 +154,24 @@
 	if short || g.moving(v) {
 		a.AgainMs = soon.Milliseconds()
 	}
-	a.Owners = g.ownersOf(r)
+	a.Owners = g.ownersOf(v)
+	a.HoldsDigest = holdsDigest(a)
+	if a.HoldsDigest != 0 && a.HoldsDigest == r.HoldsDigest {
+		a.HoldsSame, a.Owned, a.Owners = true, nil, nil
+	}
 	g.dir.fill(a, r.Directory)
 	return a, nil
 }
 
+// knows tells whether the targets of a report are in it or known from before.
+func (g *Grantor) knows(r *eelpb.RenewRequest) bool {
+	if !r.TargetsSame {
+		return true
+	}
+	v, ok := g.vms[model.VMID(r.Vm)]
+	return ok && v.incarnation == r.Incarnation && v.digest != 0 && v.digest == r.TargetsDigest
+}
+
 // moving tells whether a target is on its way from or to a VM.
 func (g *Grantor) moving(v *vm) bool {
 	for _, t := range g.targets {
@@ -186,7 +206,12 @@
 }
 
 // hear takes the targets that the entry has heard.
-func (g *Grantor) hear(r *eelpb.RenewRequest, now time.Duration) {
+func (g *Grantor) hear(v *vm, r *eelpb.RenewRequest, now time.Duration) {
+	if r.TargetsSame {
+		g.hearAgain(v, now)
+		return
+	}
+	v.reported, v.digest = v.reported[:0], TargetsDigest(r.Targets)
 	for _, t := range r.Targets {
 		id := model.TargetID(t.Id)
 		x, ok := g.targets[id]
@@ -199,6 +224,20 @@
 			x.report = t
 		}
 		x.heard = now
+		v.reported = append(v.reported, id)
+	}
+}
+
+// hearAgain takes the targets of the entry's last report once more.
+func (g *Grantor) hearAgain(v *vm, now time.Duration) {
+	for _, id := range v.reported {
+		t, ok := g.targets[id]
+		if !ok {
+			// The target was forgotten, so the next report must name all.
+			v.digest = 0
+			continue
+		}
+		t.heard = now
 	}
 }
 
@@ -239,15 +278,20 @@
 		}
 		out = append(out, t.report)
 	}
+	slices.SortFunc(out, func(a, b *eelpb.TargetReport) int { return strings.Compare(a.Id, b.Id) })
 	return out
 }
 
-func (g *Grantor) ownersOf(r *eelpb.RenewRequest) []*eelpb.TargetOwner {
+// ownersOf returns the owners of the targets that a VM reports.
+func (g *Grantor) ownersOf(v *vm) []*eelpb.TargetOwner {
 	var out []*eelpb.TargetOwner
-	for _, t := range r.Targets {
-		x := g.targets[model.TargetID(t.Id)]
-		if v, ok := g.vms[x.owner]; ok {
-			out = append(out, &eelpb.TargetOwner{Target: t.Id, Vm: string(v.id), Addr: v.addr})
+	for _, id := range v.reported {
+		t, ok := g.targets[id]
+		if !ok {
+			continue
+		}
+		if o, ok := g.vms[t.owner]; ok {
+			out = append(out, &eelpb.TargetOwner{Target: string(id), Vm: string(o.id), Addr: o.addr})
 		}
 	}
 	return out
--- a/internal/lease/share.go
+++ b/internal/lease/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
@@ -11,13 +13,9 @@
 // controlPart divides a link to give what is kept free for control.
 const controlPart = 20
 
-const (
-	// idleDemand divides a capacity to give what a VM without demand may get.
-	idleDemand = 200
-	// demandSlack is how many times its demand a VM may get. What is left is
-	// granted to no VM, so that another one can have it without waiting.
-	demandSlack = 2
-)
+// demandSlack is how many times its demand a VM may get. What is left is
+// granted to no VM, so that another one can have it without waiting.
+const demandSlack = 2
 
 // LinkResource names one direction of a link.
 func LinkResource(from, to model.RegionID) string {
@@ -61,10 +59,13 @@
 	return m
 }
 
-// capacities lists the resources of a catalogue.
-func capacities(c *model.Catalogue) map[string]int64 {
+// capacities lists the resources that a VM of a region may use.
+func capacities(c *model.Catalogue, r model.RegionID) map[string]int64 {
 	m := make(map[string]int64, 2*len(c.Links)+len(c.Caps))
 	for _, l := range c.Links {
+		if l.Regions[0] != r && l.Regions[1] != r {
+			continue
+		}
 		n := int64(l.BytesPerSecond) - int64(l.BytesPerSecond)/controlPart
 		m[LinkResource(l.Regions[0], l.Regions[1])] = n
 		m[LinkResource(l.Regions[1], l.Regions[0])] = n
@@ -80,7 +81,7 @@
 func (g *Grantor) share(v *vm, r *eelpb.RenewRequest, c *model.Catalogue, now time.Duration) (list []*eelpb.Share, short bool) {
 	demands := byName(r.Demands)
 	reported := byName(r.Shares)
-	for name, capacity := range capacities(c) {
+	for name, capacity := range capacities(c, c.RegionOf(v.domain)) {
 		s, ok := g.shares[name]
 		if !ok {
 			s = &resource{granted: map[model.VMID]*holding{}}
@@ -92,9 +93,12 @@
 			limit = reported[name]
 		}
 		n := s.grant(v.id, demands[name], limit, r.SeenGrant, g.grant, now)
-		list = append(list, &eelpb.Share{Resource: name, Amount: n})
+		if n > 0 {
+			list = append(list, &eelpb.Share{Resource: name, Amount: n})
+		}
 		short = short || n < min(demands[name], s.fair(s.granted[v.id]))
 	}
+	slices.SortFunc(list, func(a, b *eelpb.Share) int { return strings.Compare(a.Resource, b.Resource) })
 	return list, short
 }
 
@@ -140,7 +144,7 @@
 
 // wish returns what a VM would get if there were enough for all.
 func (s *resource) wish(h *holding) int64 {
-	return demandSlack*h.demand + s.capacity/idleDemand
+	return demandSlack * h.demand
 }
 
 // fair returns the VM's wish, or its part of the capacity where there is not enough for all.
--- a/internal/round/disturb.go
+++ b/internal/round/disturb.go
@@ -58,15 +58,17 @@
 }
 
 func (o Options) drainRegion(ctx context.Context, d *demo.Deployment) error {
-	return change(ctx, d, func([]model.Object) []model.Object {
+	return change(ctx, d, func([]model.Object) ([]model.Object, error) {
 		return []model.Object{{
 			Kind: model.ObjectDrain, Name: "round", Owner: "admin", Spec: fmt.Appendf(nil, "{\"region\":%q}", o.DrainRegion),
-		}}
+		}}, nil
 	})
 }
 
 func (o Options) swap(ctx context.Context, d *demo.Deployment) error {
-	return change(ctx, d, func(all []model.Object) []model.Object { return setAlgorithm(all, o.SwapTo) })
+	return change(ctx, d, func(all []model.Object) ([]model.Object, error) {
+		return editPolicies(all, func(p *model.Policy) { p.Algorithm = o.SwapTo })
+	})
 }
 
 func (o Options) loseRegion(_ context.Context, d *demo.Deployment) error {
@@ -84,11 +86,15 @@
 	return nil
 }
 
-func change(ctx context.Context, d *demo.Deployment, put func([]model.Object) []model.Object) error {
+func change(ctx context.Context, d *demo.Deployment, put func([]model.Object) ([]model.Object, error)) error {
 	cat, err := d.Admin.Catalogue(ctx)
 	if err != nil {
 		return err
 	}
-	_, err = d.Admin.Change(ctx, wire.Change{ChangeID: "round", BaseVersion: cat.Version, Put: put(cat.Objects)})
+	objects, err := put(cat.Objects)
+	if err != nil {
+		return err
+	}
+	_, err = d.Admin.Change(ctx, wire.Change{ChangeID: "round", BaseVersion: cat.Version, Put: objects})
 	return err
 }
--- a/internal/round/ideal.go
+++ b/internal/round/ideal.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -77,10 +76,3 @@
 	slices.Sort(took)
 	return took[len(took)/2], took[len(took)*99/100]
 }
-
-func serviceOf(o model.Object) model.ServiceID {
-	var p model.Policy
-	// The example files are checked by a test.
-	_ = json.Unmarshal(o.Spec, &p)
-	return p.Service
-}
--- a/internal/round/round.go
+++ b/internal/round/round.go
@@ -11,7 +11,7 @@
 
 import (
 	"context"
-	"fmt"
+	"encoding/json"
 	"io"
 	"time"
 
@@ -81,6 +81,8 @@
 	Resends     int
 	// Algorithm overrides that of all policies.
 	Algorithm model.Algorithm
+	// Hedge overrides after how long all policies send a request to a second site.
+	Hedge time.Duration
 	// Fault is what the first target does from a third of the round on.
 	Fault fakes.Fault
 	// DrainRegion is drained from a third of the round on.
@@ -151,8 +153,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if o.Algorithm != "" {
-		setAlgorithm(objects, o.Algorithm)
+	if err := o.setPolicies(objects); err != nil {
+		return nil, err
 	}
 	return demo.New(ctx, demo.Options{
 		Objects: objects, Dir: o.Dir, Net: o.Net, Entries: o.Firm.Entries, Targets: o.Firm.Targets, Slots: o.Firm.Slots,
@@ -160,16 +162,37 @@
 	})
 }
 
-// setAlgorithm gives all policies an algorithm, and returns them.
-func setAlgorithm(objects []model.Object, a model.Algorithm) []model.Object {
+// setPolicies sets what the options override.
+func (o Options) setPolicies(objects []model.Object) error {
+	_, err := editPolicies(objects, func(p *model.Policy) {
+		p.HedgeMillis = model.Millis(o.Hedge.Milliseconds())
+		if o.Algorithm != "" {
+			p.Algorithm = o.Algorithm
+		}
+	})
+	return err
+}
+
+// editPolicies changes all policies in place, and returns them.
+func editPolicies(objects []model.Object, f func(*model.Policy)) ([]model.Object, error) {
 	var out []model.Object
 	for i, x := range objects {
-		if x.Kind == model.ObjectPolicy {
-			objects[i].Spec = fmt.Appendf(nil, "{\"service\":%q,\"algorithm\":%q,\"weight\":100}", serviceOf(x), a)
-			out = append(out, objects[i])
+		if x.Kind != model.ObjectPolicy {
+			continue
+		}
+		var p model.Policy
+		if err := json.Unmarshal(x.Spec, &p); err != nil {
+			return nil, err
 		}
+		f(&p)
+		b, err := json.Marshal(p)
+		if err != nil {
+			return nil, err
+		}
+		objects[i].Spec = b
+		out = append(out, objects[i])
 	}
-	return out
+	return out, nil
 }
 
 func (o Options) capacity(s model.ServiceID) float64 {
--- a/internal/script/doc.go
+++ b/internal/script/doc.go
@@ -26,6 +26,7 @@
 //	exits NAME CODE REGEXP         wait until a process ends by itself, and check its log
 //	twin NAME                      start a second entry with the same id
 //	logsize BYTES                  fail if a replica's folder is larger
+//	cost NAME LENGTH CORE% MEGABYTES BYTES/S   fail if an idle entry spends more on control
 //	get NAME PATH                  print what a process answers; NAME may be leader or old
 //	wipe NAME                      remove a stopped process's data folder
 //	fault TARGET KIND              make a fake target misbehave
--- a/pkg/model/check.go
+++ b/pkg/model/check.go
@@ -135,8 +135,8 @@
 		default:
 			return fmt.Errorf("%s: algorithm %q does not exist", key, x.Algorithm)
 		}
-		if x.Weight < 0 || x.LinkPrice < 0 {
-			return fmt.Errorf("%s: weight and linkPriceMillis must not be negative", key)
+		if x.Weight < 0 || x.LinkPrice < 0 || x.HedgeMillis < 0 {
+			return fmt.Errorf("%s: weight, linkPriceMillis and hedgeMillis must not be negative", key)
 		}
 	}
 	return nil
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -197,6 +197,9 @@
 	Weight int `json:"weight"`
 	// LinkPrice is what a full link adds to the cost of a site in milliseconds.
 	LinkPrice Millis `json:"linkPriceMillis,omitempty"`
+	// HedgeMillis is after how long without an answer an idempotent request goes
+	// to a second site, within the retry budget; 0 means never.
+	HedgeMillis Millis `json:"hedgeMillis,omitempty"`
 }
 
 // Drain takes a place or a target out of service.
