--- a/internal/lease/share.go
+++ b/internal/lease/share.go
@@ -13,9 +13,13 @@
 // controlPart divides a link to give what is kept free for control.
 const controlPart = 20
 
-// demandSlack is how many times its demand a VM may get. What is left is
-// granted to no VM, so that another one can have it without waiting.
-const demandSlack = 2
+const (
+	// demandSlack is how many times its demand a VM may get. What is left is
+	// granted to no VM, so that another one can have it without waiting.
+	demandSlack = 2
+	// burstPart divides a capacity to give what a VM with any demand may get on top.
+	burstPart = 20
+)
 
 // LinkResource names one direction of a link.
 func LinkResource(from, to model.RegionID) string {
@@ -144,7 +148,10 @@
 
 // wish returns what a VM would get if there were enough for all.
 func (s *resource) wish(h *holding) int64 {
-	return demandSlack * h.demand
+	if h.demand == 0 {
+		return 0
+	}
+	return demandSlack*h.demand + s.capacity/burstPart
 }
 
 // fair returns the VM's wish, or its part of the capacity where there is not enough for all.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -28,13 +28,14 @@
 	mu    sync.Mutex
 	limit int64
 	// held is what may be used at any moment from now on.
-	held   int64
-	used   [slots]int64
-	sum    int64
-	head   int64
-	denied int64
+	held int64
+	used [slots]int64
+	sum  int64
+	head int64
 	// asked counts what was asked for, whether or not it was taken.
 	asked [slots]int64
+	// askedAt is when anything was asked for last.
+	askedAt time.Duration
 }
 
 // NewWindow returns a window with a limit of 0.
@@ -73,13 +74,21 @@
 func (w *Window) Take(n int64, now time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !w.fits(n, now) {
+		return false
+	}
+	w.add(n)
+	return true
+}
+
+// fits counts what is asked for, and tells whether there is room for it.
+func (w *Window) fits(n int64, now time.Duration) bool {
 	w.advance(now)
 	w.asked[w.head%slots] += n
+	w.askedAt = now
 	if w.sum+w.held+n > w.limit {
-		w.denied++
 		return false
 	}
-	w.add(n)
 	return true
 }
 
@@ -88,10 +97,7 @@
 func (w *Window) Hold(n int64, now time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.advance(now)
-	w.asked[w.head%slots] += n
-	if w.sum+w.held+n > w.limit {
-		w.denied++
+	if !w.fits(n, now) {
 		return false
 	}
 	w.held += n
@@ -134,10 +140,15 @@
 	return min(1, float64(w.sum+w.held)/float64(w.limit))
 }
 
-// slotsPerSecond is how many slots make a second.
-const slotsPerSecond = int64(time.Second / slotLength)
+const (
+	// slotsPerSecond is how many slots make a second.
+	slotsPerSecond = int64(time.Second / slotLength)
+	// demandMemory is how long after the last of it there is some demand.
+	demandMemory = 10 * time.Second
+)
 
-// Demand returns what was asked for in the last second.
+// Demand returns what was asked for in the last second, and at least 1 for some
+// time after that.
 func (w *Window) Demand(now time.Duration) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -146,6 +157,9 @@
 	for i := range slotsPerSecond {
 		sum += w.asked[(w.head-i+slots)%slots]
 	}
+	if sum == 0 && w.askedAt > 0 && now < w.askedAt+demandMemory {
+		return 1
+	}
 	return sum
 }
 
