--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -86,10 +86,7 @@
 	w.advance(now)
 	w.asked[w.head%slots] += n
 	w.askedAt = now
-	if w.sum+w.held+n > w.limit {
-		return false
-	}
-	return true
+	return w.sum+w.held+n <= w.limit
 }
 
 // Hold reserves n for something whose time is not known, such as an answer: it
