Grant to nobody what an entry still holds for answers under way

Cause: by reading. Since an answer is held in its link's window until it comes, a VM may use more than its new share when its demand has fallen: the grantor counted only the shares that it granted, and gave the rest to others after a window, while the answer could still come.

--- /dev/null
+++ b/internal/entry/paced.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"context"
+	"io"
+)
+
+const pacedChunk = 16 << 10
+
+// pacedReader reads an answer no faster than the link's share allows.
+type pacedReader struct {
+	x    *Entry
+	ctx  context.Context
+	r    io.Reader
+	p    *permit
+	left int64
+}
+
+func (x *Entry) paced(ctx context.Context, r io.Reader, p *permit) io.Reader {
+	if p == nil || p.in == nil {
+		return r
+	}
+	return &pacedReader{x: x, ctx: ctx, r: r, p: p, left: p.reserved}
+}
+
+// Read reads at most one chunk and waits until the link's share covers it.
+func (r *pacedReader) Read(b []byte) (int, error) {
+	n, err := r.r.Read(b[:min(len(b), pacedChunk)])
+	r.left -= int64(n)
+	if r.left >= 0 {
+		return n, err
+	}
+	if err := r.x.waitFor(r.ctx, r.p, -r.left); err != nil {
+		return n, err
+	}
+	r.left = 0
+	return n, err
+}
--- a/internal/lease/share.go
+++ b/internal/lease/share.go
@@ -38,9 +38,11 @@
 	resting  []rest
 }
 
-// holding is what a VM may be using: all amounts since the last that it confirmed.
+// holding is what a VM may be using: all amounts since the last that it
+// confirmed, and what it says that it still holds of more.
 type holding struct {
 	amounts []amount
+	held    int64
 	demand  int64
 }
 
@@ -56,7 +58,7 @@
 }
 
 func (h *holding) max() int64 {
-	var m int64
+	m := h.held
 	for _, a := range h.amounts {
 		m = max(m, a.n)
 	}
@@ -92,11 +94,8 @@
 			g.shares[name] = s
 		}
 		s.capacity = capacity
-		limit := int64(-1)
-		if g.Quiet(now) {
-			limit = reported[name]
-		}
-		n := s.grant(v.id, demands[name], limit, r.SeenGrant, g.grant, now)
+		a := ask{demand: max(demands[name], 0), held: max(reported[name], 0), seen: r.SeenGrant, number: g.grant, quiet: g.Quiet(now)}
+		n := s.grant(v.id, a, now)
 		if n > 0 {
 			list = append(list, &eelpb.Share{Resource: name, Amount: n})
 		}
@@ -114,33 +113,44 @@
 	return m
 }
 
-// grant returns the VM's new amount; a limit of 0 or more bounds it.
-func (s *resource) grant(id model.VMID, demand, limit int64, seen, number uint64, now time.Duration) int64 {
+// ask is what a renewal says of one resource.
+type ask struct {
+	demand int64
+	// held is what the VM may use of it at this moment.
+	held int64
+	// seen is the last grant in force, and number that of the reply.
+	seen, number uint64
+	// quiet bounds the grant by what is held.
+	quiet bool
+}
+
+// grant returns the VM's new amount.
+func (s *resource) grant(id model.VMID, a ask, now time.Duration) int64 {
 	h, ok := s.granted[id]
 	if !ok {
 		h = &holding{}
 		s.granted[id] = h
 	}
-	h.demand = max(demand, 0)
-	s.confirm(h, seen, now)
+	h.demand = a.demand
+	s.confirm(h, a, now)
 	n := min(s.fair(h), s.free(id, now))
-	if limit >= 0 {
-		n = min(n, limit)
+	if a.quiet {
+		n = min(n, a.held)
 	}
 	n = max(n, 0)
-	h.amounts = append(h.amounts, amount{grant: number, n: n})
+	h.amounts = append(h.amounts, amount{grant: a.number, n: n})
 	return n
 }
 
 // confirm forgets the amounts before the grant that the VM has in force, and
 // lets what it gave back rest for a window.
-func (s *resource) confirm(h *holding, seen uint64, now time.Duration) {
+func (s *resource) confirm(h *holding, a ask, now time.Duration) {
 	before := h.max()
 	i := 0
-	for i < len(h.amounts)-1 && h.amounts[i+1].grant <= seen {
+	for i < len(h.amounts)-1 && h.amounts[i+1].grant <= a.seen {
 		i++
 	}
-	h.amounts = append([]amount(nil), h.amounts[i:]...)
+	h.amounts, h.held = append([]amount(nil), h.amounts[i:]...), min(a.held, s.capacity)
 	if d := before - h.max(); d > 0 {
 		s.resting = append(s.resting, rest{until: now + shareWindow, n: d})
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -126,6 +126,14 @@
 	w.sum -= n
 }
 
+// Reserved returns what may be used at any moment from now on: the limit, or
+// what is held where the limit has fallen below that.
+func (w *Window) Reserved() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(w.limit, w.held)
+}
+
 // Use returns the used part of the limit, from 0 to 1; a limit of 0 is full.
 func (w *Window) Use(now time.Duration) float64 {
 	w.mu.Lock()
