--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -6,8 +6,9 @@
 //	c := caller.New(caller.Options{Entries: []string{"10.0.0.11:7000"}, Region: "attiki"})
 //	a, err := c.Do(ctx, caller.Request{Service: "registry", Class: "lookup", Path: "/cards/17"})
 //
-// A request that gets no answer is sent again by another entry with the same
-// id; the system sees to it that it runs at most once where its class says so.
+// A request whose entry answers neither it nor a probe is sent again by another
+// entry with the same id; the system sees to it that it runs at most once where
+// its class says so.
 package caller
 
 import (
@@ -134,7 +135,9 @@
 		a, err := c.watched(ctx, addr, list, r, from)
 		if err != nil {
 			last.Reason = err.Error()
-			c.health.failed(addr)
+			if ctx.Err() == nil {
+				c.health.failed(addr)
+			}
 			continue
 		}
 		c.health.answered(addr)
