Wait for a leader where a scenario names it, and log its changes

The language asked each replica once for its status and failed where none answered as leader in that moment. Whether a status question took over its second or an election was under way is not known: no log said so.

Excluded: elections that the load causes: a run of Script/once with the new log line shows leaders only after the two kills that it makes.

Change: a scenario waits up to 5 s, the time in which changes must be in force, for a leader that it names. A replica logs when it follows another leader.

After: Script/once and Script/path green.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,6 +106,9 @@
 	snapshot *eelpb.Snapshot
 	waiters  map[raft.Index]waiter
 	senders  map[raft.ReplicaID]string
+	// leader and term are the last that were logged.
+	leader raft.ReplicaID
+	term   raft.Term
 
 	inbox     chan *eelpb.Message
 	proposals chan proposal
@@ -292,9 +295,20 @@
 	if n.r.Role() != raft.Leader {
 		n.failWaiters()
 	}
+	n.logLeader()
 	return n.maybeSnapshot()
 }
 
+// logLeader logs that the replica follows another leader, or none.
+func (n *Node) logLeader() {
+	l, t := n.r.Leader(), n.r.Term()
+	if l == n.leader && t == n.term {
+		return
+	}
+	n.leader, n.term = l, t
+	level.Info(n.o.Log).Log("msg", "leader changed", "leader", uint64(l), "term", uint64(t), "role", n.r.Role())
+}
+
 func (n *Node) save(d raft.Ready) error {
 	if d.Hard != nil {
 		n.hard = d.Hard
--- a/internal/script/deploy_test.go
+++ b/internal/script/deploy_test.go
@@ -168,7 +168,7 @@
 
 func (d *deployment) get(name string) (*process, error) {
 	if name == "leader" {
-		n, err := d.leader(nil)
+		n, err := d.awaitLeader()
 		if err != nil {
 			return nil, err
 		}
@@ -184,6 +184,22 @@
 	return p, nil
 }
 
+// electionLimit is the time in which a group must have a leader again, since
+// changes must be in force within it.
+const electionLimit = 5 * time.Second
+
+// awaitLeader returns the name of the leading replica. An election may be under way.
+func (d *deployment) awaitLeader() (string, error) {
+	end := time.Now().Add(electionLimit)
+	for {
+		n, err := d.leader(nil)
+		if err == nil || time.Now().After(end) {
+			return n, err
+		}
+		time.Sleep(poll)
+	}
+}
+
 func (d *deployment) addStates(n int) error {
 	var peers, list []string
 	for i := 1; i <= n; i++ {
