--- a/internal/entry/hop.go
+++ b/internal/entry/hop.go
@@ -61,15 +61,7 @@
 	if s.Gauge.SeenWithin(silentAfter, x.now()) {
 		return nil
 	}
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Addr+wire.PathHealth, nil)
-	if err != nil {
-		return err
-	}
-	res, err := x.hop.Do(q)
-	if err != nil {
-		return err
-	}
-	return res.Body.Close()
+	return watch.Get(ctx, x.hop, "http://"+s.Addr+wire.PathHealth)
 }
 
 // ask sends the request of a hop and reads the whole answer.
--- /dev/null
+++ b/internal/watch/probe.go
@@ -0,0 +1,26 @@
+package watch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Get probes a process by a GET that it answers with status 200.
+func Get(ctx context.Context, c *http.Client, url string) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	res, err := c.Do(q)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answered a probe with status %d", url, res.StatusCode)
+	}
+	_, err = io.Copy(io.Discard, res.Body)
+	return err
+}
--- a/pkg/caller/health.go
+++ b/pkg/caller/health.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/watch"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
 
@@ -72,6 +70,13 @@
 	return err
 }
 
+// checkNow checks an entry beside all requests.
+func (h *health) checkNow(addr string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	return h.check(ctx, addr)
+}
+
 // pick returns the best entry that was not tried. Those that did not answer
 // come last, and are probed beside the request.
 func (h *health) pick(list []wire.Entry, tried map[string]bool) (string, bool) {
@@ -105,9 +110,7 @@
 			continue
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-			defer cancel()
-			if h.check(ctx, e.Addr) != nil {
+			if h.checkNow(e.Addr) != nil {
 				h.failed(e.Addr)
 			}
 		}()
@@ -123,28 +126,12 @@
 	}
 	h.bad[addr] = time.Now().Add(probeEvery)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		if h.probe(ctx, addr) == nil {
-			h.answered(addr)
-		}
+		// An entry that stays silent stays passed over.
+		_ = h.checkNow(addr)
 	}()
 }
 
 // probe asks an entry whether it serves.
 func (c *Client) probe(ctx context.Context, addr string) error {
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+wire.PathHealth, nil)
-	if err != nil {
-		return err
-	}
-	res, err := c.c.Do(q)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("entry %s answered a probe with status %d", addr, res.StatusCode)
-	}
-	_, err = io.Copy(io.Discard, res.Body)
-	return err
+	return watch.Get(ctx, c.c, "http://"+addr+wire.PathHealth)
 }
