--- a/internal/node/drive.go
+++ b/internal/node/drive.go
@@ -160,6 +160,7 @@
 // startWrite hands a write to the disk; finish is called once it is durable.
 func (n *Node) startWrite(w func() error, finish func()) {
 	n.finish, n.writeFrom = finish, n.Now()
+	n.r.SetWriting(true)
 	n.write(w)
 }
 
@@ -173,6 +174,7 @@
 		return err
 	}
 	f()
+	n.r.SetWriting(false)
 	return nil
 }
 
@@ -243,9 +245,10 @@
 	}
 }
 
-// maybeSnapshot starts to write a snapshot when the log has grown and the disk is idle.
+// maybeSnapshot starts to write a snapshot when the log has grown and the disk is
+// idle; during an election the disk is kept for votes.
 func (n *Node) maybeSnapshot() error {
-	if n.finish != nil || n.st.Size() < n.o.SnapshotBytes || n.r.Applied() <= raft.Index(n.snapshot.GetIndex()) {
+	if n.finish != nil || n.r.Leader() == 0 || n.st.Size() < n.o.SnapshotBytes || n.r.Applied() <= raft.Index(n.snapshot.GetIndex()) {
 		return nil
 	}
 	b, err := proto.Marshal(n.machine.Image())
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -62,13 +62,15 @@
 	t   *testing.T
 	rnd *rand.Rand
 	// disks draws how long the disks take.
-	disks  *rand.Rand
-	now    time.Duration
-	seq    int
-	queue  events
-	hosts  []*host
-	cut    map[[2]raft.ReplicaID]bool
-	loss   float64
+	disks *rand.Rand
+	now   time.Duration
+	seq   int
+	queue events
+	hosts []*host
+	cut   map[[2]raft.ReplicaID]bool
+	loss  float64
+	// slow is the longest time that writes take longer on disks that are busy with the work of others.
+	slow   time.Duration
 	leader map[raft.Term]raft.ReplicaID
 	// applied is the image's digest by index, which must be the same on all replicas.
 	applied map[raft.Index][]byte
@@ -150,7 +152,11 @@
 )
 
 func (s *sim) writeTime(h *host) time.Duration {
-	return max(time.Duration(s.disks.Int64N(int64(syncTime))), h.stalledUntil-s.now)
+	d := time.Duration(s.disks.Int64N(int64(syncTime)))
+	if s.slow > 0 {
+		d += s.slow/2 + time.Duration(s.disks.Int64N(int64(s.slow/2)))
+	}
+	return max(d, h.stalledUntil-s.now)
 }
 
 // write makes durable what a node has handed to its disk, unless the power went out before.
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -93,6 +93,9 @@
 }
 
 func (r *Raft) countVotes() {
+	if r.role == Candidate && !r.termDurable() {
+		return
+	}
 	n, voters := 0, 0
 	for _, m := range r.members.Members {
 		if !m.Voter {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -154,14 +154,14 @@
 	snapDirty *eelpb.Snapshot
 	// restored is the leader's snapshot that the caller was not given yet.
 	restored *eelpb.Snapshot
-	// saving, hardSaving and snapSaving tell what the Ready that was taken and
-	// not advanced yet makes durable.
-	saving     bool
+	// hardSaving and snapSaving tell what the Ready that was taken and not advanced
+	// yet makes durable.
 	hardSaving bool
 	snapSaving bool
-	// savingSince is when that Ready was taken.
-	savingSince time.Duration
-	out         []outgoing
+	// writing says that the disk is at work, since writingSince.
+	writing      bool
+	writingSince time.Duration
+	out          []outgoing
 }
 
 // New returns a replica as its disk left it.
@@ -262,7 +262,9 @@
 	if r.early.due(r.now) {
 		r.reject(r.early.drop())
 	}
-	if r.now >= r.electAt && r.isVoter() {
+	// While the disk is at work there is a vote that counts for another soon, or the
+	// replica's own would wait.
+	if r.now >= r.electAt && r.isVoter() && !r.writing {
 		r.campaign(false)
 	}
 }
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -92,14 +92,46 @@
 	assert.Assert(t, !granted(again.Ready()), "two votes in one term")
 }
 
+// A candidate asks for votes at once, but where the disk does not hold its whole log
+// yet: after a restart the votes would count for a shorter one.
+func TestVotesAreAskedForAtOnce(t *testing.T) {
+	tests := []struct {
+		name   string
+		before func(r *Raft)
+		want   int
+	}{
+		{"whole log durable", func(r *Raft) {}, 2},
+		{"entries on their way to the disk", func(r *Raft) {
+			m := from(3, eelpb.MessageKind_MESSAGE_APPEND, 1)
+			m.LogIndex, m.LogTerm = 2, 1
+			m.Entries = []*eelpb.LogEntry{{Index: 3, Term: 1}}
+			r.Step(m, 0)
+			r.Ready()
+		}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := replica(&eelpb.HardState{Term: 1}, 1)
+			tt.before(r)
+			r.Tick(long)
+			r.Free()
+			r.Step(from(2, eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, 2), long)
+			assert.Equal(t, r.Role(), Candidate)
+			assert.Equal(t, len(r.Free()), tt.want)
+		})
+	}
+}
+
 // lead makes a replica win an election with the vote of replica 2.
 func lead(t *testing.T, r *Raft) {
 	t.Helper()
 	r.Tick(long)
 	r.Ready()
 	r.Step(from(2, eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY, uint64(r.Term())+1), long)
-	r.Ready()
+	d := r.Ready()
 	r.Step(from(2, eelpb.MessageKind_MESSAGE_VOTE_REPLY, uint64(r.Term())), long)
+	assert.Equal(t, r.Role(), Candidate, "its own vote is not durable yet")
+	r.Advance(d)
 	assert.Equal(t, r.Role(), Leader)
 	r.Advance(r.Ready())
 }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -40,12 +40,17 @@
 	for _, o := range r.out {
 		d.Messages = append(d.Messages, o.m)
 	}
-	r.savingSince = r.now
-	r.saving, r.hardSaving, r.snapSaving = d.Stores(), d.Hard != nil, d.Snapshot != nil
+	r.hardSaving, r.snapSaving = d.Hard != nil, d.Snapshot != nil
 	r.hardDirty, r.snapDirty, r.out = false, nil, nil
 	return d
 }
 
+// SetWriting tells the replica that its disk begins or ends a write, be it of a
+// Ready or of a snapshot of its own.
+func (r *Raft) SetWriting(on bool) {
+	r.writing, r.writingSince = on, r.now
+}
+
 // Free returns the messages that depend on nothing that is not durable yet.
 func (r *Raft) Free() []*eelpb.Message {
 	var free []*eelpb.Message
@@ -78,24 +83,45 @@
 
 // Advance tells the replica that a Ready was saved and sent.
 func (r *Raft) Advance(d Ready) {
-	r.savingSince = r.now
-	r.saving, r.hardSaving, r.snapSaving = false, false, false
-	n := len(d.Entries)
-	if n == 0 {
-		return
+	if d.Hard != nil && r.role != Leader {
+		// A vote goes out, and counts, only now. The disks of others may be as slow,
+		// and end a write before that of their vote.
+		r.resetElection()
+		if r.writing {
+			r.electAt += 2 * (r.now - r.writingSince)
+		}
 	}
-	e := d.Entries[n-1]
-	r.log.stableTo(Index(e.Index), Term(e.Term))
-	if r.role == Leader {
+	r.hardSaving, r.snapSaving = false, false
+	if n := len(d.Entries); n > 0 {
+		e := d.Entries[n-1]
+		r.log.stableTo(Index(e.Index), Term(e.Term))
+	}
+	switch r.role {
+	case Leader:
 		r.maybeCommit()
+	case Candidate:
+		r.countVotes()
 	}
 }
 
-// independent tells whether all that a message promises is durable already:
-// the term and vote, and the entries that it acknowledges.
+// termDurable tells whether the disk holds the present term and vote.
+func (r *Raft) termDurable() bool { return !r.hardDirty && !r.hardSaving }
+
+// independent tells whether all that a message promises is durable already: the
+// term and vote, and the entries that it speaks of. A request for votes promises no
+// vote: the candidate counts its own once it is durable.
 func (r *Raft) independent(m *eelpb.Message) bool {
-	if r.hardDirty || r.hardSaving || r.snapDirty != nil || r.snapSaving {
+	if r.snapDirty != nil || r.snapSaving {
 		return false
 	}
-	return m.Kind != eelpb.MessageKind_MESSAGE_APPEND_REPLY || m.Reject || Index(m.LogIndex) <= r.log.stable
+	switch m.Kind {
+	case eelpb.MessageKind_MESSAGE_PRE_VOTE, eelpb.MessageKind_MESSAGE_PRE_VOTE_REPLY:
+		return true
+	case eelpb.MessageKind_MESSAGE_VOTE:
+		// After a restart the answers would count for what is left of the log.
+		return Index(m.LogIndex) <= r.log.stable
+	case eelpb.MessageKind_MESSAGE_APPEND_REPLY:
+		return r.termDurable() && (m.Reject || Index(m.LogIndex) <= r.log.stable)
+	}
+	return r.termDurable()
 }
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -115,8 +115,11 @@
 // promotion yet.
 func (r *Raft) stepVote(m *eelpb.Message) {
 	from := ReplicaID(m.From)
-	ok := (r.vote == 0 || r.vote == from) && r.role != Leader && r.upToDate(m)
+	ok := (r.vote == 0 || r.vote == from || r.yields(from)) && r.role != Leader && r.upToDate(m)
 	if ok {
+		if r.role == Candidate {
+			r.role = Follower
+		}
 		r.vote = from
 		r.hardDirty = true
 		r.resetElection()
@@ -124,6 +127,13 @@
 	r.reply(m, &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_VOTE_REPLY, Reject: !ok})
 }
 
+// yields tells whether a candidate gives its vote to another of the same term. Its
+// own counts for nothing until it is durable, and of two candidates that ask
+// while their disks are at work one should win.
+func (r *Raft) yields(to ReplicaID) bool {
+	return r.role == Candidate && !r.termDurable() && to < r.c.ID
+}
+
 func (r *Raft) stepVoteReply(m *eelpb.Message) {
 	if r.role != Candidate || m.Reject || !r.knows(m) {
 		return
@@ -181,7 +191,7 @@
 // the disk stalls on earlier ones, the leader hears at once how far the log is
 // durable, so that the disk is not taken for a replica that is gone.
 func (r *Raft) acknowledge(m, answer *eelpb.Message) {
-	stalls := r.saving && r.now >= r.savingSince+r.c.Heartbeat
+	stalls := r.writing && r.now >= r.writingSince+r.c.Heartbeat
 	if !stalls || Index(answer.LogIndex) <= r.log.stable {
 		r.reply(m, answer)
 		return
