--- a/internal/node/send.go
+++ b/internal/node/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
@@ -65,11 +66,18 @@
 	sendTimeout = time.Second
 	// maxSendsInFlight lets the next message go before the last was answered.
 	maxSendsInFlight = 8
+	// downPause is how long messages for a peer that could not be reached gather:
+	// the leader's next heartbeat would be the first that it misses.
+	downPause = raft.DefaultHeartbeat
 )
 
 func (n *Node) sendLoop(ctx context.Context, addr string, c chan *eelpb.Message) {
 	slots := make(chan struct{}, maxSendsInFlight)
+	var down atomic.Bool
 	for {
+		if down.Swap(false) && sleep(ctx, downPause) != nil {
+			return
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -84,6 +92,7 @@
 				ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 				defer cancel()
 				if err := n.o.Transport.Send(ctx, addr, batch); err != nil {
+					down.Store(true)
 					level.Debug(n.o.Log).Log("msg", "message not delivered", "to", addr, "err", err)
 				}
 				return nil
--- a/internal/node/stall_test.go
+++ b/internal/node/stall_test.go
@@ -38,9 +38,9 @@
 	return w.File.Sync()
 }
 
-// trio starts three replicas on disks that can stall, and returns them with their disks.
-func trio(t *testing.T) (map[*Node]*stallFS, *Node) {
-	w := &wires{delay: time.Millisecond, nodes: map[string]*Node{}}
+// trio starts three replicas on disks that can stall, and returns them with their
+// disks and the leader. What goes through the transport ends at the wires.
+func trio(t *testing.T, w *wires, tr Transport) (map[*Node]*stallFS, *Node) {
 	disks := map[*Node]*stallFS{}
 	var peers []Peer
 	for i := 1; i <= 3; i++ {
@@ -48,7 +48,7 @@
 	}
 	for i, p := range peers {
 		d := &stallFS{FS: memfs.New()}
-		o := Options{ID: p.ID, Dir: "/d", Addr: p.Addr, Peers: peers, Transport: w, Log: log.NewNopLogger(), SnapshotBytes: snapshotBytes}
+		o := Options{ID: p.ID, Dir: "/d", Addr: p.Addr, Peers: peers, Transport: tr, Log: log.NewNopLogger(), SnapshotBytes: snapshotBytes}
 		n, err := start(o, world{fs: d, clock: clock.Since(), random: func() uint64 { return uint64(i) + 1 }})
 		assert.NilError(t, err)
 		w.mu.Lock()
@@ -93,7 +93,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			disks, l := trio(t)
+			w := &wires{delay: time.Millisecond, nodes: map[string]*Node{}}
+			disks, l := trio(t, w, w)
 			_, err := l.Propose(context.Background(), claim(1))
 			assert.NilError(t, err)
 			term, _, _ := l.Leadership()
