Spread the voters over regions

Cause: the voters were the seeds and those that came first. Excluded: the first deployments; with one replica in each of five failure domains no region holds more than two. Change: members name their region; the learner of the region with the fewest voters is promoted first; a voter of a region whose loss ends the quorum gives way while all voters answer and a learner elsewhere is ready. eelctl status shows the region.

--- a/cmd/eelplat/state.go
+++ b/cmd/eelplat/state.go
@@ -36,7 +36,7 @@
 	}
 	peers := server.NewPeers(d.key, d.dial)
 	n, err := node.New(node.Options{
-		ID: id, Dir: s.DataDir, Addr: s.Internal, Peers: first, Transport: peers, Log: d.l,
+		ID: id, Dir: s.DataDir, Addr: s.Internal, Peers: first, Transport: peers, Log: d.l, Region: s.Region(),
 		Seeds: func() []string { return slices.Clone(d.current().Seeds) },
 	})
 	if err != nil {
--- a/internal/node/admit.go
+++ b/internal/node/admit.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -49,7 +50,7 @@
 			return false, err
 		}
 	}
-	l := &eelpb.Member{Id: m.Id, Incarnation: m.Incarnation, Addr: m.Addr}
+	l := &eelpb.Member{Id: m.Id, Incarnation: m.Incarnation, Addr: m.Addr, Region: m.Region}
 	if err := n.change(ctx, func() (raft.Index, error) { return n.r.AddLearner(l) }); err != nil {
 		return false, err
 	}
@@ -92,7 +93,8 @@
 	var err error
 	switch {
 	case p.remove != 0:
-		level.Info(n.o.Log).Log("msg", "removes a silent replica", "replica", uint64(p.remove))
+		level.Info(n.o.Log).Log("msg", "removes a replica that is silent or whose region has too many voters", "replica", uint64(p.remove),
+			"silentMillis", n.silentFor(p.remove).Milliseconds())
 		err = n.Remove(ctx, p.remove)
 	case p.promote != 0:
 		err = n.change(ctx, func() (raft.Index, error) { return n.r.Promote(p.promote) })
@@ -105,6 +107,12 @@
 	}
 }
 
+func (n *Node) silentFor(id raft.ReplicaID) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.r.Silent(id)
+}
+
 // membershipPlan is the next change of the membership; 0 means none.
 type membershipPlan struct {
 	remove  raft.ReplicaID
@@ -114,38 +122,71 @@
 func (n *Node) plan() membershipPlan {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return planMembership(n.r.Members(), n.o.MaxVoters, func(id raft.ReplicaID) time.Duration { return n.r.Silent(id) })
+	return planMembership(n.r.Members(), n.o.MaxVoters, n.o.ID, func(id raft.ReplicaID) time.Duration { return n.r.Silent(id) })
 }
 
-// planMembership decides the next change from how long each member has been silent.
-func planMembership(s *eelpb.Membership, maxVoters int, silent func(raft.ReplicaID) time.Duration) membershipPlan {
-	var voters, quiet, ready []raft.ReplicaID
+// planMembership decides the leader's next change from how long each member has been silent.
+func planMembership(s *eelpb.Membership, maxVoters int, leader raft.ReplicaID, silent func(raft.ReplicaID) time.Duration) membershipPlan {
+	var voters, ready []*eelpb.Member
+	var quiet []raft.ReplicaID
+	calm := true
 	for _, m := range s.GetMembers() {
 		id := raft.ReplicaID(m.Id)
 		switch t := silent(id); {
 		case m.Voter:
-			voters = append(voters, id)
+			voters = append(voters, m)
+			calm = calm && t < leaderless
 			if t > silentVoter {
 				quiet = append(quiet, id)
 			}
 		case t > silentLearner:
 			return membershipPlan{remove: id}
 		case t < leaderless:
-			ready = append(ready, id)
+			ready = append(ready, m)
 		}
 	}
-	slices.Sort(ready)
-	switch {
-	case len(ready) == 0:
+	if len(ready) == 0 {
 		return membershipPlan{}
+	}
+	in := byRegion(voters)
+	next := slices.MinFunc(ready, func(a, b *eelpb.Member) int {
+		return cmp.Or(cmp.Compare(in[a.Region], in[b.Region]), cmp.Compare(a.Id, b.Id))
+	})
+	switch {
 	case len(voters) < maxVoters:
-		return membershipPlan{promote: ready[0]}
+		return membershipPlan{promote: raft.ReplicaID(next.Id)}
 	case len(quiet) > 0:
 		return membershipPlan{remove: quiet[0]}
+	case calm:
+		return membershipPlan{remove: crowding(voters, leader, next.Region)}
 	}
 	return membershipPlan{}
 }
 
+// byRegion counts members by region.
+func byRegion(list []*eelpb.Member) map[string]int {
+	out := map[string]int{}
+	for _, m := range list {
+		out[m.Region]++
+	}
+	return out
+}
+
+// crowding returns the voter that should give way to one of another region, since
+// the loss of its own would take the quorum along; 0 where there is none.
+func crowding(voters []*eelpb.Member, leader raft.ReplicaID, to string) raft.ReplicaID {
+	in := byRegion(voters)
+	out := raft.ReplicaID(0)
+	for _, m := range voters {
+		left := len(voters) - in[m.Region]
+		if m.Region == "" || left > len(voters)/2 || in[to]+1 >= in[m.Region] || raft.ReplicaID(m.Id) == leader {
+			continue
+		}
+		out = max(out, raft.ReplicaID(m.Id))
+	}
+	return out
+}
+
 // join asks the group to take this replica in whenever it is not a member, as
 // far as it can tell.
 func (n *Node) join(ctx context.Context) error {
@@ -171,7 +212,7 @@
 }
 
 func (n *Node) askToJoin(ctx context.Context) {
-	m := &eelpb.Member{Id: n.identity.ID, Incarnation: n.identity.Incarnation, Addr: n.o.Addr}
+	m := &eelpb.Member{Id: n.identity.ID, Incarnation: n.identity.Incarnation, Addr: n.o.Addr, Region: string(n.o.Region)}
 	asked := map[string]bool{n.o.Addr: true}
 	list := append(n.o.Seeds(), n.Addrs()...)
 	for i := 0; i < len(list); i++ {
--- a/internal/node/form.go
+++ b/internal/node/form.go
@@ -45,7 +45,7 @@
 func (n *Node) askPeers(ctx context.Context) (*eelpb.Membership, bool) {
 	s := &eelpb.Membership{}
 	for _, p := range n.o.Peers {
-		m := &eelpb.Member{Id: uint64(p.ID), Incarnation: n.identity.Incarnation, Addr: p.Addr, Voter: true}
+		m := &eelpb.Member{Id: uint64(p.ID), Incarnation: n.identity.Incarnation, Addr: p.Addr, Voter: true, Region: string(n.o.Region)}
 		if p.ID != n.o.ID {
 			c, cancel := context.WithTimeout(ctx, formTimeout)
 			who, err := n.o.Transport.Identify(c, p.Addr)
@@ -56,7 +56,7 @@
 			if who.Formed {
 				return who.First, n.named(who.First)
 			}
-			m.Incarnation = who.Incarnation
+			m.Incarnation, m.Region = who.Incarnation, who.Region
 		}
 		s.Members = append(s.Members, m)
 	}
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 )
@@ -75,6 +76,7 @@
 	Incarnation uint64         `json:"incarnation"`
 	Addr        string         `json:"addr"`
 	Voter       bool           `json:"voter"`
+	Region      model.RegionID `json:"region,omitempty"`
 	Match       raft.Index     `json:"match"`
 }
 
@@ -90,7 +92,7 @@
 	for _, m := range n.r.Members().GetMembers() {
 		id := raft.ReplicaID(m.Id)
 		s.Members = append(s.Members, MemberStatus{
-			ID: id, Incarnation: m.Incarnation, Addr: m.Addr, Voter: m.Voter, Match: n.r.Match(id),
+			ID: id, Incarnation: m.Incarnation, Addr: m.Addr, Voter: m.Voter, Region: model.RegionID(m.Region), Match: n.r.Match(id),
 		})
 		if id == s.Leader {
 			s.LeaderAddr = m.Addr
@@ -131,7 +133,7 @@
 	if raft.ReplicaID(who.Id) != id {
 		return fault.Newf("node.Add", KindNotLeader, "replica at %s is %d, not %d", addr, who.Id, id)
 	}
-	m := &eelpb.Member{Id: who.Id, Incarnation: who.Incarnation, Addr: addr}
+	m := &eelpb.Member{Id: who.Id, Incarnation: who.Incarnation, Addr: addr, Region: who.Region}
 	if err := n.change(ctx, func() (raft.Index, error) { return n.r.AddLearner(m) }); err != nil {
 		return err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/internal/store"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
@@ -76,6 +77,8 @@
 	// Seeds returns addresses to ask to be taken into the group. Without it the
 	// membership changes only when an operator says so.
 	Seeds func() []string
+	// Region is where the replica is; voters are spread over regions as far as they are told.
+	Region model.RegionID
 	// MaxVoters is how many voters the group keeps by itself, where it has Seeds.
 	MaxVoters int
 }
@@ -255,6 +258,7 @@
 	defer n.mu.Unlock()
 	r := &eelpb.IdentifyReply{
 		Id: n.identity.ID, Incarnation: n.identity.Incarnation, Formed: n.r.Formed(), Addr: n.o.Addr,
+		Region: string(n.o.Region),
 	}
 	if n.snapshot.GetIndex() == firstIndex {
 		r.First = n.snapshot.Membership
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -18,7 +18,7 @@
 		return 0, fault.Newf(op, KindUnsafe, "replica %d is a member already; remove it first", m.Id)
 	}
 	next := cloneMembership(r.members)
-	next.Members = append(next.Members, &eelpb.Member{Id: m.Id, Incarnation: m.Incarnation, Addr: m.Addr})
+	next.Members = append(next.Members, &eelpb.Member{Id: m.Id, Incarnation: m.Incarnation, Addr: m.Addr, Region: m.Region})
 	return r.changeMembers(next), nil
 }
 
