Find what changed, and who fell silent, without walking all targets

Each pull walked all objects, and each report of whom a replica heard sorted all of them at the leader, twice a second in its own round besides. Excluded: the encoding of deltas and announcements; both are small beside it by reading. Change: objects are kept in the order of their versions too; a report only marks; the leader looks for silent targets once a second and does not sort. A delta names a removed object once, also where it was removed twice.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -198,10 +198,13 @@
 	return out
 }
 
-// mark notes at the leader that targets were heard.
-func (r *registry) mark(ids []string, now time.Duration) {
+// mark notes at the leader of a term that targets were heard.
+func (r *registry) mark(ids []string, term raft.Term, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.seen == nil || r.term != term {
+		r.term, r.seen = term, map[string]time.Duration{}
+	}
 	for _, id := range ids {
 		r.seen[id] = now
 	}
@@ -209,18 +212,12 @@
 
 // silent returns the targets of the list that were not heard for long enough.
 // A new leader gives each of them the whole time again.
-func (r *registry) silent(objects []model.Object, life time.Duration, term raft.Term, now time.Duration) []string {
+func (r *registry) silent(targets []*eelpb.Object, life time.Duration, now time.Duration) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.seen == nil || r.term != term {
-		r.term, r.seen = term, map[string]time.Duration{}
-	}
 	var out []string
 	present := map[string]bool{}
-	for _, o := range objects {
-		if o.Kind != model.ObjectTarget {
-			continue
-		}
+	for _, o := range targets {
 		present[o.Name] = true
 		at, ok := r.seen[o.Name]
 		if !ok {
@@ -245,30 +242,21 @@
 
 // Heard takes another replica's report.
 func (t stateService) Heard(_ context.Context, q *eelpb.HeardRequest) (*eelpb.HeardReply, error) {
-	if !t.s.o.Node.IsLeader() {
+	term, _, ok := t.s.o.Node.Leadership()
+	if !ok {
 		return nil, t.s.notLeader()
 	}
-	t.s.sweepList()
-	t.s.registry.mark(q.Targets, t.s.o.Node.Now())
+	t.s.registry.mark(q.Targets, term, t.s.o.Node.Now())
 	return &eelpb.HeardReply{}, nil
 }
 
-// sweepList returns the targets that fell silent, at the leader.
-func (s *Server) sweepList() []string {
-	t, _, ok := s.o.Node.Leadership()
-	if !ok {
-		return nil
-	}
-	o, _ := s.o.Node.Machine().Objects()
-	return s.registry.silent(o, s.o.Heartbeat*silentBeats, t, s.o.Node.Now())
-}
-
 // tend reports whom this replica heard, and at the leader forgets silent targets.
 func (s *Server) tend(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, sweepTimeout)
 	defer cancel()
 	ids := s.registry.take()
-	if !s.o.Node.IsLeader() {
+	term, _, ok := s.o.Node.Leadership()
+	if !ok {
 		if len(ids) == 0 {
 			return
 		}
@@ -280,9 +268,9 @@
 		}
 		return
 	}
-	s.sweepList()
-	s.registry.mark(ids, s.o.Node.Now())
-	for _, id := range s.sweepList() {
+	s.registry.mark(ids, term, s.o.Node.Now())
+	targets := s.o.Node.Machine().Find(model.ObjectTarget, func(*eelpb.Object) bool { return true })
+	for _, id := range s.registry.silent(targets, s.o.Heartbeat*silentBeats, s.o.Node.Now()) {
 		level.Info(s.o.Log).Log("msg", "target fell silent", "target", id)
 		q := &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{{Kind: string(model.ObjectTarget), Name: id, Removed: true}}}
 		if _, err := s.submit(c, q); err != nil {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -14,6 +14,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"slices"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	DefaultMaxClaimBytes = 256 << 20
 	// DefaultClaimLife is how long a claim is kept.
 	DefaultClaimLife = 24 * time.Hour
+	// minPuts is how many replaced objects are kept in any case before they are dropped.
+	minPuts = 64
 	// MaxKeptAnswer is the largest answer that a claim keeps.
 	MaxKeptAnswer = 64 << 10
 )
@@ -78,6 +81,9 @@
 	l       Limits
 	version uint64
 	objects map[string]*eelpb.Object
+	// puts holds the objects in the order of their versions, and some that were
+	// replaced since.
+	puts []*eelpb.Object
 	// removed holds tombstones in the order of their versions.
 	removed    []*eelpb.Object
 	floor      uint64
@@ -187,6 +193,10 @@
 	}
 	if !o.Removed {
 		m.objects[k] = n
+		m.puts = append(m.puts, n)
+		if len(m.puts) > 2*len(m.objects)+minPuts {
+			m.puts = slices.DeleteFunc(m.puts, func(o *eelpb.Object) bool { return !m.holds(o) })
+		}
 		return
 	}
 	delete(m.objects, k)
@@ -275,8 +285,8 @@
 	if r.Snapshot {
 		after = 0
 	}
-	for _, o := range m.objects {
-		if o.Version > after && !slices.Contains(without, o.Kind) {
+	for _, o := range behind(m.puts, after) {
+		if m.holds(o) && !slices.Contains(without, o.Kind) {
 			r.Objects = append(r.Objects, o)
 		}
 	}
@@ -286,17 +296,32 @@
 	return r
 }
 
-// removedAfter returns the tombstones after a version of objects that were not put again.
+// holds tells whether an object that was put was neither replaced nor removed since.
+func (m *Machine) holds(o *eelpb.Object) bool { return m.objects[o.Kind+"/"+o.Name] == o }
+
+// behind returns what follows a version in a list that is ordered by versions.
+func behind(list []*eelpb.Object, version uint64) []*eelpb.Object {
+	i, _ := slices.BinarySearchFunc(list, version, func(o *eelpb.Object, v uint64) int {
+		if o.Version <= v {
+			return -1
+		}
+		return 1
+	})
+	return list[i:]
+}
+
+// removedAfter returns the last tombstones after a version of objects that were not put again.
 func (m *Machine) removedAfter(after uint64) []*eelpb.Object {
 	var out []*eelpb.Object
-	for _, o := range m.removed {
-		if o.Version <= after {
-			continue
-		}
-		if _, ok := m.objects[o.Kind+"/"+o.Name]; !ok {
+	told := map[string]bool{}
+	for _, o := range slices.Backward(behind(m.removed, after)) {
+		k := o.Kind + "/" + o.Name
+		if _, ok := m.objects[k]; !ok && !told[k] {
+			told[k] = true
 			out = append(out, o)
 		}
 	}
+	slices.Reverse(out)
 	return out
 }
 
@@ -348,14 +373,16 @@
 	defer m.mu.Unlock()
 	m.version, m.nowMs, m.floor = s.Version, s.NowMs, s.TombstoneFloor
 	m.lastChange, m.lastAuthor = s.LastChangeId, s.LastAuthor
-	m.objects, m.removed = map[string]*eelpb.Object{}, nil
+	m.objects, m.puts, m.removed = map[string]*eelpb.Object{}, nil, nil
 	for _, o := range s.Objects {
 		if o.Removed {
 			m.removed = append(m.removed, o)
 			continue
 		}
 		m.objects[o.Kind+"/"+o.Name] = o
+		m.puts = append(m.puts, o)
 	}
+	slices.SortFunc(m.puts, func(a, b *eelpb.Object) int { return cmp.Compare(a.Version, b.Version) })
 	m.results, m.order = map[string]*eelpb.ChangeResult{}, nil
 	for _, r := range s.Results {
 		m.results[r.ChangeId] = r
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -132,6 +133,58 @@
 	assert.Assert(t, m.Delta(3).Snapshot, "the tombstones since are gone")
 }
 
+// However often objects are put and removed, a delta holds what changed since and no more.
+func TestDeltaOfManyChanges(t *testing.T) {
+	m := New(Limits{})
+	r := rand.New(rand.NewPCG(1, 1))
+	last := map[string]*eelpb.Object{}
+	for i := range uint64(2000) {
+		name := fmt.Sprint(r.IntN(40))
+		o := &eelpb.Object{Kind: "target", Name: name, Spec: []byte(fmt.Sprint(i)), Removed: r.IntN(3) == 0}
+		if v := m.Apply(&eelpb.Command{Change: &eelpb.Change{AnyBase: true, Objects: []*eelpb.Object{o}}}).Change.Version; v > uint64(m.Version()) {
+			t.Fatalf("version %d is not in force", v)
+		}
+		if held := m.Object("target", name); held != nil || last[name] != nil {
+			last[name] = held
+		}
+		if i%100 == 0 {
+			image := New(Limits{})
+			image.Restore(m.Image())
+			m = image
+		}
+		after := uint64(m.Version()) - min(uint64(m.Version()), uint64(r.IntN(30)))
+		got := map[string]bool{}
+		for _, o := range m.Delta(after).Objects {
+			assert.Assert(t, !got[o.Name], "object %s twice", o.Name)
+			got[o.Name] = true
+			assert.Equal(t, o.Removed, last[o.Name] == nil)
+		}
+		for name, o := range last {
+			if o != nil {
+				assert.Equal(t, got[name], o.Version > after, "object %s of version %d after %d", name, o.Version, after)
+			}
+		}
+	}
+}
+
+// BenchmarkDelta measures what a replica does for an entry that is one change behind.
+func BenchmarkDelta(b *testing.B) {
+	for _, targets := range []int{30, 3000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			m := New(Limits{})
+			for i := range targets {
+				m.Apply(&eelpb.Command{Change: &eelpb.Change{AnyBase: true, Objects: []*eelpb.Object{
+					{Kind: "target", Name: fmt.Sprint(i), Spec: make([]byte, 150)},
+				}}})
+			}
+			after := uint64(m.Version()) - 1
+			for b.Loop() {
+				m.Delta(after)
+			}
+		})
+	}
+}
+
 func TestImage(t *testing.T) {
 	m := New(Limits{})
 	m.Apply(object("1", 0, "a", false))
