--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -100,7 +100,7 @@
 		before func(r *Raft)
 		want   int
 	}{
-		{"whole log durable", func(r *Raft) {}, 2},
+		{"whole log durable", func(*Raft) {}, 2},
 		{"entries on their way to the disk", func(r *Raft) {
 			m := from(3, eelpb.MessageKind_MESSAGE_APPEND, 1)
 			m.LogIndex, m.LogTerm = 2, 1
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -89,6 +89,11 @@
 		return
 	}
 	ok := Term(m.Term) > r.term && !r.inLease(m) && r.upToDate(m)
+	if ok && r.role == PreCandidate && ReplicaID(m.From) < r.c.ID {
+		// Of those that ask at the same time one goes on, or they would split the votes.
+		r.role = Follower
+		r.resetElection()
+	}
 	t := m.Term
 	if !ok {
 		t = uint64(r.term)
