Let the pauses of entries grow that find no leader or catalogue

Cause: on the scratch site of 300 machines entries asked every 50 ms while the leader was busy with the start of 2,996 targets: 17,164 renewals and 5,828 signs of life in 20 s, and the leader lost its place over it. Change: pauses double from 50 to 400 ms, with a random part.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,9 @@
 	renewTimeout = 400 * time.Millisecond
 	pullWait     = 20 * time.Second
 	retryPause   = 50 * time.Millisecond
+	// maxRetryPause is what the pauses grow to, half of a renewal interval, so that
+	// the entries do not keep replicas busy that are about to elect a leader.
+	maxRetryPause = 400 * time.Millisecond
 	// DefaultListLife is how long callers may use a list of entries.
 	DefaultListLife = 5 * time.Second
 	// listSlack is how much longer than that a leaving entry serves.
@@ -154,6 +157,13 @@
 	return http.ErrUseLastResponse
 }
 
+// backoff returns the pause after a number of failures in a row before this one.
+// A part of it is random, since entries that start together fail together.
+func backoff(failures int) time.Duration {
+	d := min(maxRetryPause, retryPause<<min(failures, 8))
+	return d/2 + rand.N(d/2)
+}
+
 func newTransport(d setup.Dialer) *http.Transport {
 	return &http.Transport{DialContext: d, MaxIdleConnsPerHost: idlePerHost, DisableCompression: true, IdleConnTimeout: time.Minute}
 }
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -115,7 +115,7 @@
 // down for long, so that all are asked for a sign of life; the catalogue, which
 // may fill the link for a while, comes from one at a time, the first that answered.
 func (x *Entry) pullFirst(ctx context.Context) {
-	for ctx.Err() == nil && x.config.version() == 0 {
+	for failures := 0; ctx.Err() == nil && x.config.version() == 0; failures++ {
 		for addr := range x.state.alive(ctx, firstProbe) {
 			if x.config.version() > 0 {
 				continue
@@ -127,7 +127,7 @@
 			cancel()
 		}
 		if x.config.version() == 0 {
-			sleep(ctx, retryPause)
+			sleep(ctx, backoff(failures))
 		}
 	}
 }
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -18,10 +18,13 @@
 
 // renewLoop keeps the lease alive.
 func (x *Entry) renewLoop(ctx context.Context) error {
-	for {
+	for failures := 0; ; {
 		again, ok := x.renewOnce(ctx)
-		if !ok {
-			again = retryPause
+		if ok {
+			failures = 0
+		} else {
+			again = backoff(failures)
+			failures++
 		}
 		t := time.NewTimer(again)
 		select {
