--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -140,13 +140,13 @@
 
 func (d *deployment) text(w io.Writer) {
 	fmt.Fprintf(w, "catalogue version %d, %d claims\n\n", d.Version, d.Claims)
-	fmt.Fprintln(w, "REPLICA\tADDRESS\tVOTER\tMATCH")
+	fmt.Fprintln(w, "REPLICA\tADDRESS\tREGION\tVOTER\tMATCH")
 	for _, m := range d.Replica.Members {
 		role := ""
 		if m.ID == d.Replica.Leader {
 			role = " (leader)"
 		}
-		fmt.Fprintf(w, "%d%s\t%s\t%t\t%d\n", m.ID, role, m.Addr, m.Voter, m.Match)
+		fmt.Fprintf(w, "%d%s\t%s\t%s\t%t\t%d\n", m.ID, role, m.Addr, m.Region, m.Voter, m.Match)
 	}
 	fmt.Fprintln(w, "\nREGION\tTARGETS\tREADY\tSLOTS\tDRAINED")
 	for _, r := range d.Regions {
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -262,8 +262,7 @@
 	if r.early.due(r.now) {
 		r.reject(r.early.drop())
 	}
-	// While the disk is at work there is a vote that counts for another soon, or the
-	// replica's own would wait.
+	// A campaign would wait for a disk that is at work, perhaps on a vote for another.
 	if r.now >= r.electAt && r.isVoter() && !r.writing {
 		r.campaign(false)
 	}
