Let a change of the catalogue cost what it changes

Cause: every delta copied the map of all objects, decoded all of them and checked all, on every entry and on the leader, up to five times a second, and the front rebuilt its tables of all targets.

Excluded: decoding faster. It still grows with everything that is known.

Change: Catalogue.With makes a later catalogue out of an earlier one and shares what did not change: targets in a persistent map, the routing as it was decoded, with an index of its routes by host and prefix. A catalogue tells which targets differ from an earlier one, and the front's tables follow that. Of an object's targets only its first ones are asked whether they may be used.

TestDeltasEqualAFullBuild and TestTablesFollowDeltas compare with full builds over random deltas; TestOneChangeCostsTheSameBesideMany bounds the growth (a full build's allocations grow with the number of targets).

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,6 +14,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"path/filepath"
@@ -331,12 +332,5 @@
 }
 
 func sortedDomains(c *model.Catalogue) []model.FailureDomainID {
-	var out []model.FailureDomainID
-	for _, o := range c.Objects {
-		if o.Kind == model.ObjectFailureDomain {
-			out = append(out, model.FailureDomainID(o.Name))
-		}
-	}
-	slices.Sort(out)
-	return out
+	return slices.Sorted(maps.Keys(c.Domains))
 }
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -12,11 +12,10 @@
 	"github.com/go-kit/log/level"
 )
 
-// configStore holds the objects of the catalogue; its version only goes up.
+// configStore holds the catalogue; its version only goes up.
 type configStore struct {
-	mu      sync.Mutex
-	objects map[string]model.Object
-	built   *model.Catalogue
+	mu    sync.Mutex
+	built *model.Catalogue
 }
 
 func (s *configStore) catalogue() *model.Catalogue {
@@ -41,29 +40,11 @@
 	if s.built != nil && (uint64(s.built.Version) >= r.Version || !r.Snapshot && base != s.built.Version) {
 		return false, nil
 	}
-	m := map[string]model.Object{}
-	if !r.Snapshot {
-		for k, o := range s.objects {
-			m[k] = o
-		}
-	}
-	for _, o := range r.Objects {
-		n := state.ToModel(o)
-		if o.Removed {
-			delete(m, n.Key())
-			continue
-		}
-		m[n.Key()] = n
-	}
-	list := make([]model.Object, 0, len(m))
-	for _, o := range m {
-		list = append(list, o)
-	}
-	c, err := model.NewCatalogue(model.Version(r.Version), list)
+	c, err := state.Advance(s.built, r)
 	if err != nil {
 		return false, err
 	}
-	s.objects, s.built = m, c
+	s.built = c
 	return true, nil
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -132,18 +133,29 @@
 			MaxAttempts: 2, Split: []model.SplitPart{{Service: "s", Weight: 1}},
 		}}})
 	}
-	c := &model.Catalogue{
-		Version: 1, Routing: r, Targets: map[model.TargetID]model.Target{},
-		Domains: map[model.FailureDomainID]model.FailureDomain{"a-1": {Name: "a-1", Region: "a"}},
-		Regions: map[model.RegionID]model.Region{"a": {Name: "a"}},
+	o := []model.Object{
+		object(t, model.ObjectRegion, "a", model.Region{}),
+		object(t, model.ObjectFailureDomain, "a-1", model.FailureDomain{Region: "a"}),
+		object(t, model.ObjectRouting, model.RoutingName, r),
 	}
 	for i, x := range targets {
-		id := model.TargetID(fmt.Sprintf("t%d", i))
-		c.Targets[id] = model.Target{ID: id, Service: "s", FailureDomain: "a-1", Addr: x.lis.Addr().String(), Slots: 3, State: model.TargetReady, Incarnation: 1}
+		o = append(o, object(t, model.ObjectTarget, fmt.Sprintf("t%d", i), model.Target{
+			Service: "s", FailureDomain: "a-1", Addr: x.lis.Addr().String(), Slots: 3, State: model.TargetReady, Incarnation: 1,
+		}))
 	}
+	c, err := model.NewCatalogue(1, o)
+	assert.NilError(t, err)
 	return &fixedWorld{c: c, fresh: true}
 }
 
+// object returns an object of the catalogue.
+func object(t testing.TB, k model.ObjectKind, name string, spec any) model.Object {
+	t.Helper()
+	b, err := json.Marshal(spec)
+	assert.NilError(t, err)
+	return model.Object{Kind: k, Name: name, Owner: "o", Spec: b}
+}
+
 func newFront(w *fixedWorld) *Front {
 	return New(Options{
 		Domain: "a-1", World: w, Dialect: Native, Log: log.NewNopLogger(),
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -100,7 +101,7 @@
 		return q.refusal("the routing may be out of date", comeBack)
 	}
 	q.version = c.Version
-	route, ok := c.Routing.Match(q.r.Host, q.r.URL.EscapedPath())
+	route, ok := c.Match(q.r.Host, q.r.URL.EscapedPath())
 	if !ok {
 		if !f.o.World.Fresh() {
 			return q.refusal("no route matches, and the routing may be out of date", comeBack)
@@ -254,32 +255,31 @@
 // object's first one.
 func (f *Front) choose(q *request, c *model.Catalogue, tried map[model.TargetID]bool) (t *target, spill, ok bool) {
 	now := f.now()
+	usable := func(t *target) bool { return atHome(q.route, t.region) && t.usable(now) }
 	var list []*target
-	var candidates []place.Candidate
-	targets := f.tables.of(c, q.service)
-	home := c.RegionOf(f.o.Domain)
-	near := place.Near(f.tables.part(q.service, home), len(c.Regions))
-	for _, t := range targets {
-		r := c.RegionOf(t.domain)
-		if !t.usable(now) || !atHome(q.route, r) || !q.keyed() && tried[t.id] {
-			continue
+	f.tables.read(c, q.service, func(r *roster) {
+		if !q.keyed() {
+			list = slices.DeleteFunc(slices.Clone(r.list), func(t *target) bool { return tried[t.id] || !usable(t) })
+			return
 		}
-		x := t.candidate(q.work, q.key, q.keyed(), now)
-		if r == home {
-			x.Weight = near
-		}
-		list = append(list, t)
-		candidates = append(candidates, x)
-	}
-	skip := func(i int) bool { return tried[list[i].id] }
+		home := c.RegionOf(f.o.Domain)
+		near := place.Near(r.part(home), len(c.Regions))
+		list = place.First(q.key, r.list, place.DefaultSpread, usable, func(t *target) place.Rank {
+			if t.region == home {
+				return place.Rank{Seed: t.seed, Weight: near}
+			}
+			return place.Rank{Seed: t.seed, Weight: 1}
+		})
+	})
+	candidate := func(t *target) place.Candidate { return t.candidate(q.work, q.key, q.keyed(), now) }
 	if q.keyed() {
-		i, rank, ok := place.Choose(q.key, candidates, place.Options{Spread: place.DefaultSpread, Hold: hold}, skip)
+		i, ok := place.Choose(list, hold, candidate, func(t *target) bool { return tried[t.id] })
 		if !ok {
 			return nil, false, false
 		}
-		return list[i], rank > 0, true
+		return list[i], i > 0, true
 	}
-	i, ok := place.Least(q.key, candidates)
+	i, ok := place.Least(q.key, list, candidate)
 	if !ok {
 		return nil, false, false
 	}
--- /dev/null
+++ b/internal/front/tables.go
@@ -0,0 +1,188 @@
+package front
+
+import (
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/place"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// tables are the targets as this VM knows them. What a change of the catalogue
+// costs is what it changes, not how many targets there are.
+type tables struct {
+	o   Options
+	now func() time.Duration
+
+	mu       sync.RWMutex
+	version  model.Version
+	built    bool
+	all      map[model.TargetID]*target
+	services map[model.ServiceID]*roster
+	drained  map[model.FailureDomainID]bool
+}
+
+// roster are the targets of a service that no order keeps out of use.
+type roster struct {
+	list  []*target
+	slots map[model.RegionID]int
+	total int
+}
+
+func (r *roster) add(x *target, slots int) {
+	x.listed, x.listedAt, x.listedSlots = r, len(r.list), slots
+	r.list = append(r.list, x)
+	r.slots[x.region] += slots
+	r.total += slots
+}
+
+func (r *roster) remove(x *target) {
+	last := r.list[len(r.list)-1]
+	r.list[x.listedAt], last.listedAt = last, x.listedAt
+	r.list = r.list[:len(r.list)-1]
+	r.slots[x.region] -= x.listedSlots
+	r.total -= x.listedSlots
+	x.listed = nil
+}
+
+// part returns a region's part of the slots.
+func (r *roster) part(region model.RegionID) float64 {
+	if r.total == 0 {
+		return 0
+	}
+	return float64(r.slots[region]) / float64(r.total)
+}
+
+func (t *tables) init(o Options, now func() time.Duration) {
+	t.o, t.now = o, now
+	t.all, t.services = map[model.TargetID]*target{}, map[model.ServiceID]*roster{}
+}
+
+// read calls a function with the targets of a service that no order keeps out of
+// use. It must not keep them.
+func (t *tables) read(c *model.Catalogue, s model.ServiceID, f func(*roster)) {
+	t.update(c)
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.services[s]
+	if !ok {
+		r = &roster{}
+	}
+	f(r)
+}
+
+// update takes a newer catalogue over; what is known of targets that stay is kept.
+func (t *tables) update(c *model.Catalogue) {
+	t.mu.RLock()
+	current := t.built && t.version >= c.Version
+	t.mu.RUnlock()
+	if current {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.built && t.version >= c.Version {
+		return
+	}
+	changed, ok := c.ChangedTargets(t.version)
+	if !t.built || !ok {
+		t.rebuild(c)
+	}
+	now := t.now()
+	for _, id := range changed {
+		t.change(c, id, now)
+	}
+	t.version, t.built = c.Version, true
+}
+
+// rebuild goes through all targets; the caller holds the lock.
+func (t *tables) rebuild(c *model.Catalogue) {
+	now, wasDrained := t.now(), t.drained
+	t.drained = map[model.FailureDomainID]bool{}
+	for d := range c.Domains {
+		t.drained[d] = c.Drained(d, "")
+	}
+	for id := range t.all {
+		if _, ok := c.Targets.Get(id); !ok {
+			t.change(c, id, now)
+		}
+	}
+	for id, m := range c.Targets.All() {
+		t.change(c, id, now)
+		if wasDrained[m.FailureDomain] && !t.drained[m.FailureDomain] {
+			// The targets may have become cold while nothing was sent to them, and
+			// an announcement that says so may be on its way.
+			t.all[id].coolUntil(now + t.o.BeatEvery + coldSlack)
+		}
+	}
+}
+
+// change takes over what the catalogue says of one target; the caller holds the lock.
+func (t *tables) change(c *model.Catalogue, id model.TargetID, now time.Duration) {
+	old := t.all[id]
+	if old != nil && old.listed != nil {
+		old.listed.remove(old)
+	}
+	m, ok := c.Targets.Get(id)
+	if !ok {
+		delete(t.all, id)
+		old.close()
+		return
+	}
+	x := t.keep(old, m, now)
+	if old != x {
+		old.close()
+	}
+	x.region = c.RegionOf(m.FailureDomain)
+	t.all[id] = x
+	if m.State == model.TargetReady && !c.Drained(m.FailureDomain, id) {
+		t.roster(m.Service).add(x, m.Slots)
+	}
+}
+
+func (t *tables) roster(s model.ServiceID) *roster {
+	r, ok := t.services[s]
+	if !ok {
+		r = &roster{slots: map[model.RegionID]int{}}
+		t.services[s] = r
+	}
+	return r
+}
+
+// keep returns the target for a record: the one from before where it is the same life.
+func (t *tables) keep(old *target, m model.Target, now time.Duration) *target {
+	cold := time.Duration(0)
+	if m.ColdMillis > 0 {
+		cold = now + m.ColdMillis.Duration() + coldSlack
+	}
+	if old == nil || !old.sameLife(m) {
+		x := &target{id: m.ID, domain: m.FailureDomain, record: m, seed: place.SeedOf(string(m.ID)), coldUntil: cold, queue: newQueue(m.Slots)}
+		x.conns.init(t.o, m.Addr)
+		return x
+	}
+	old.mu.Lock()
+	defer old.mu.Unlock()
+	if m.ColdMillis > 0 && m.ColdMillis != old.record.ColdMillis {
+		old.coldUntil = max(old.coldUntil, cold)
+		old.warm.Forget()
+		old.queue.forget()
+	}
+	old.record = m
+	old.queue.setSlots(m.Slots)
+	return old
+}
+
+// counts returns how many targets are known and how many may be used.
+func (t *tables) counts() (known, usable int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	now := t.now()
+	for _, r := range t.services {
+		for _, x := range r.list {
+			if x.usable(now) {
+				usable++
+			}
+		}
+	}
+	return len(t.all), usable
+}
--- /dev/null
+++ b/internal/front/tables_test.go
@@ -0,0 +1,147 @@
+package front
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"gotest.tools/v3/assert"
+)
+
+// manyTargets returns a catalogue of targets in two regions of one domain each.
+func manyTargets(t testing.TB, n int) *model.Catalogue {
+	o := []model.Object{
+		object(t, model.ObjectRegion, "a", model.Region{}), object(t, model.ObjectRegion, "b", model.Region{}),
+		object(t, model.ObjectFailureDomain, "a-1", model.FailureDomain{Region: "a"}),
+		object(t, model.ObjectFailureDomain, "b-1", model.FailureDomain{Region: "b"}),
+	}
+	for i := range n {
+		o = append(o, targetObject(t, i, 1, model.TargetReady))
+	}
+	c, err := model.NewCatalogue(1, o)
+	assert.NilError(t, err)
+	return c
+}
+
+func targetObject(t testing.TB, i, incarnation int, s model.TargetState) model.Object {
+	return object(t, model.ObjectTarget, fmt.Sprintf("t%d", i), model.Target{
+		Service: "s", FailureDomain: []model.FailureDomainID{"a-1", "b-1"}[i%2], Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i),
+		Slots: 1 + i%3, State: s, Incarnation: uint64(incarnation),
+	})
+}
+
+func newTables() *tables {
+	t := &tables{}
+	t.init(Options{}, func() time.Duration { return time.Second })
+	return t
+}
+
+type listing struct {
+	ids        []model.TargetID
+	slots      map[model.RegionID]int
+	total      int
+	known      int
+	incarnated map[model.TargetID]uint64
+}
+
+func listingOf(x *tables, c *model.Catalogue) listing {
+	l := listing{slots: map[model.RegionID]int{}, incarnated: map[model.TargetID]uint64{}}
+	x.read(c, "s", func(r *roster) {
+		for i, t := range r.list {
+			if t.listedAt != i {
+				panic("a target has another place than it believes")
+			}
+			l.ids = append(l.ids, t.id)
+		}
+		for region, n := range r.slots {
+			if n != 0 {
+				l.slots[region] = n
+			}
+		}
+		l.total = r.total
+	})
+	slices.SortFunc(l.ids, func(a, b model.TargetID) int { return cmp.Compare(a, b) })
+	for id, t := range x.all {
+		l.incarnated[id] = t.record.Incarnation
+	}
+	l.known = len(x.all)
+	return l
+}
+
+// What follows change by change is what a look at the whole catalogue gives.
+func TestTablesFollowDeltas(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 2))
+			c, follows := manyTargets(t, 12), newTables()
+			states := []model.TargetState{model.TargetReady, model.TargetReady, model.TargetDraining, model.TargetGone}
+			for range 300 {
+				var put []model.Object
+				var removed []string
+				switch n := r.IntN(12); {
+				case n == 0:
+					put = append(put, object(t, model.ObjectDrain, "a-1", model.Drain{FailureDomain: "a-1"}))
+				case n == 1:
+					removed = append(removed, "drain/a-1")
+				case n < 5:
+					removed = append(removed, fmt.Sprintf("target/t%d", r.IntN(20)))
+				default:
+					put = append(put, targetObject(t, r.IntN(20), 1+r.IntN(3), states[r.IntN(len(states))]))
+				}
+				next, err := c.With(c.Version+1, put, removed)
+				assert.NilError(t, err)
+				c = next
+				if r.IntN(3) == 0 {
+					continue // The front is not asked at every version.
+				}
+				got, want := listingOf(follows, c), listingOf(newTables(), c)
+				assert.DeepEqual(t, got.ids, want.ids)
+				assert.DeepEqual(t, got.slots, want.slots)
+				assert.DeepEqual(t, got.incarnated, want.incarnated)
+				assert.Equal(t, got.total, want.total)
+				assert.Equal(t, got.known, want.known)
+			}
+		})
+	}
+}
+
+// A target that stays keeps what is known of it, be it named by a delta or not; one
+// that has started again does not.
+func TestTablesKeepWhatIsKnown(t *testing.T) {
+	c, x := manyTargets(t, 4), newTables()
+	x.update(c)
+	for _, y := range x.all {
+		y.warm.Note(7)
+	}
+	next, err := c.With(2, []model.Object{targetObject(t, 0, 1, model.TargetDraining), targetObject(t, 1, 2, model.TargetReady)}, nil)
+	assert.NilError(t, err)
+	x.update(next)
+	assert.Assert(t, x.all["t0"].warm.Knows(7))
+	assert.Assert(t, !x.all["t1"].warm.Knows(7))
+	assert.Assert(t, x.all["t2"].warm.Knows(7))
+	x.update(c)
+	assert.Equal(t, x.version, model.Version(2), "an older catalogue is passed over")
+}
+
+// Load pattern: targets announce news one after the other while requests come.
+func BenchmarkTablesOneChange(b *testing.B) {
+	for _, n := range []int{28, 224, 807, 8000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c, x := manyTargets(b, n), newTables()
+			x.update(c)
+			states := []model.TargetState{model.TargetReady, model.TargetDraining}
+			for i := 0; b.Loop(); i++ {
+				next, err := c.With(c.Version+1, []model.Object{targetObject(b, i%n, 1, states[i/n%2])}, nil)
+				if err != nil {
+					b.Fatal(err)
+				}
+				c = next
+				x.update(c)
+			}
+		})
+	}
+}
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -24,11 +24,16 @@
 type target struct {
 	id     model.TargetID
 	domain model.FailureDomainID
+	region model.RegionID
 	seed   place.Seed
 	conns  conns
 	queue  *queue
 	// warm are the objects that the target has handled, as far as this VM saw.
 	warm place.Warm
+	// listed is the roster that has the target, or nil, with its place and its
+	// slots there. The tables' lock guards them, and region.
+	listed                *roster
+	listedAt, listedSlots int
 
 	mu sync.Mutex
 	// record is what the catalogue says of the target.
@@ -70,7 +75,7 @@
 // candidate returns the target as a choice for a request of a route.
 func (t *target) candidate(w *place.Work, k place.Key, keyed bool, now time.Duration) place.Candidate {
 	return place.Candidate{
-		Seed: t.seed, Slots: t.slots(), Load: t.load(now), Each: w.Expect(true), Work: w.Expect(!keyed || t.warm.Knows(k)),
+		Slots: t.slots(), Load: t.load(now), Each: w.Expect(true), Work: w.Expect(!keyed || t.warm.Knows(k)),
 	}
 }
 
@@ -120,104 +125,11 @@
 	t.coldUntil = max(t.coldUntil, at)
 }
 
-// tables are the targets of each service.
-type tables struct {
-	o   Options
-	now func() time.Duration
-
-	mu      sync.Mutex
-	version model.Version
-	built   bool
-	all     map[model.TargetID]*target
-	lists   map[model.ServiceID][]*target
-	drained map[model.FailureDomainID]bool
-	// slots are those of each service by region.
-	slots map[model.ServiceID]map[model.RegionID]int
-}
-
-func (t *tables) init(o Options, now func() time.Duration) {
-	t.o, t.now = o, now
-	t.all, t.lists = map[model.TargetID]*target{}, map[model.ServiceID][]*target{}
-}
-
-// of returns the targets of a service that no order keeps out of use.
-func (t *tables) of(c *model.Catalogue, s model.ServiceID) []*target {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.built || t.version < c.Version {
-		t.rebuild(c)
-	}
-	return t.lists[s]
-}
-
-// part returns a region's part of a service's slots.
-func (t *tables) part(s model.ServiceID, r model.RegionID) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := 0
-	for _, n := range t.slots[s] {
-		all += n
-	}
-	if all == 0 {
-		return 0
-	}
-	return float64(t.slots[s][r]) / float64(all)
-}
-
-// rebuild takes a newer catalogue over; what is known of targets that stay is kept.
-func (t *tables) rebuild(c *model.Catalogue) {
-	now := t.now()
-	t.version, t.built = c.Version, true
-	old, wasDrained := t.all, t.drained
-	t.all, t.lists, t.drained = map[model.TargetID]*target{}, map[model.ServiceID][]*target{}, map[model.FailureDomainID]bool{}
-	t.slots = map[model.ServiceID]map[model.RegionID]int{}
-	for d := range c.Domains {
-		t.drained[d] = c.Drained(d, "")
-	}
-	for id, m := range c.Targets {
-		x := t.keep(old[id], m, now)
-		if wasDrained[m.FailureDomain] && !t.drained[m.FailureDomain] {
-			// The targets may have become cold while nothing was sent to them, and
-			// an announcement that says so may be on its way.
-			x.coolUntil(now + t.o.BeatEvery + coldSlack)
-		}
-		t.all[id] = x
-		if m.State == model.TargetReady && !c.Drained(m.FailureDomain, id) {
-			t.lists[m.Service] = append(t.lists[m.Service], x)
-			if t.slots[m.Service] == nil {
-				t.slots[m.Service] = map[model.RegionID]int{}
-			}
-			t.slots[m.Service][c.RegionOf(m.FailureDomain)] += m.Slots
-		}
-	}
-	for id, x := range old {
-		if t.all[id] != x {
-			x.conns.close()
-		}
-	}
-}
-
-// keep returns the target for a record: the one from before where it is the same life.
-func (t *tables) keep(old *target, m model.Target, now time.Duration) *target {
-	cold := time.Duration(0)
-	if m.ColdMillis > 0 {
-		cold = now + m.ColdMillis.Duration() + coldSlack
+// close closes the connections to a target that is not used any more, if there is one.
+func (t *target) close() {
+	if t != nil {
+		t.conns.close()
 	}
-	if old == nil || !old.sameLife(m) {
-		x := &target{id: m.ID, domain: m.FailureDomain, record: m, seed: place.SeedOf(string(m.ID)), coldUntil: cold, queue: newQueue(m.Slots)}
-		x.conns.init(t.o, m.Addr)
-		return x
-	}
-	old.mu.Lock()
-	defer old.mu.Unlock()
-	if m.ColdMillis > 0 && m.ColdMillis != old.record.ColdMillis {
-		old.coldUntil = max(old.coldUntil, cold)
-		old.warm.Forget()
-		old.queue.forget()
-	}
-	old.record = m
-	old.queue.setSlots(m.Slots)
-	return old
 }
 
 // sameLife tells whether a record is of the same start of the target.
@@ -226,18 +138,3 @@
 	defer t.mu.Unlock()
 	return t.record.Incarnation == m.Incarnation && t.record.Addr == m.Addr && t.domain == m.FailureDomain
 }
-
-// counts returns how many targets are known and how many may be used.
-func (t *tables) counts() (known, usable int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.now()
-	for _, l := range t.lists {
-		for _, x := range l {
-			if x.usable(now) {
-				usable++
-			}
-		}
-	}
-	return len(t.all), usable
-}
--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -7,6 +7,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/burn"
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
@@ -101,8 +102,7 @@
 // that announce to entries are known from the leases.
 func announced(c *model.Catalogue) []lease.TargetStatus {
 	var out []lease.TargetStatus
-	for _, id := range slices.Sorted(maps.Keys(c.Targets)) {
-		t := c.Targets[id]
+	for id, t := range c.Targets.All() {
 		if t.State == model.TargetGone {
 			continue
 		}
@@ -112,6 +112,7 @@
 			Ready: t.State == model.TargetReady && !drained, Draining: t.State == model.TargetDraining || drained,
 		})
 	}
+	slices.SortFunc(out, func(a, b lease.TargetStatus) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
--- a/internal/opctl/report_test.go
+++ b/internal/opctl/report_test.go
@@ -9,17 +9,17 @@
 
 // Targets that announce to the replicas are shown with what the catalogue says of them.
 func TestAnnounced(t *testing.T) {
-	target := func(d model.FailureDomainID, s model.TargetState) model.Target {
-		return model.Target{Service: "s", FailureDomain: d, Addr: "10.0.0.9:80", Slots: 3, State: s}
+	target := func(id model.TargetID, d model.FailureDomainID, s model.TargetState) model.Target {
+		return model.Target{ID: id, Service: "s", FailureDomain: d, Addr: "10.0.0.9:80", Slots: 3, State: s}
 	}
 	c := &model.Catalogue{
 		Domains: map[model.FailureDomainID]model.FailureDomain{"a-1": {Name: "a-1", Region: "a"}, "b-1": {Name: "b-1", Region: "b"}},
 		Regions: map[model.RegionID]model.Region{"a": {Name: "a"}, "b": {Name: "b"}},
 		Drains:  []model.Drain{{FailureDomain: "b-1"}},
-		Targets: map[model.TargetID]model.Target{
-			"ready": target("a-1", model.TargetReady), "leaving": target("a-1", model.TargetDraining),
-			"gone": target("a-1", model.TargetGone), "drained": target("b-1", model.TargetReady),
-		},
+		Targets: model.NewTargets(
+			target("ready", "a-1", model.TargetReady), target("leaving", "a-1", model.TargetDraining),
+			target("gone", "a-1", model.TargetGone), target("drained", "b-1", model.TargetReady),
+		),
 	}
 	list := announced(c)
 	want := []struct {
--- a/internal/place/crowd_test.go
+++ b/internal/place/crowd_test.go
@@ -79,7 +79,7 @@
 		}
 		tried := map[int]bool{}
 		for {
-			i, _, ok := Choose(k, c, Options{Spread: spread, Hold: 0.2}, func(i int) bool { return tried[i] })
+			i, _, ok := choose(k, c, spread, 0.2, func(i int) bool { return tried[i] })
 			if !ok {
 				break
 			}
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -11,9 +11,10 @@
 // # Usage
 //
 //	k := place.KeyOf("route", "17")
-//	i, rank, ok := place.Choose(k, candidates, place.Options{Spread: place.DefaultSpread, Hold: 0.2}, skip)
+//	first := place.First(k, targets, place.DefaultSpread, usable, rank)
+//	i, ok := place.Choose(first, hold, candidate, tried)
 //
-// The package is pure: candidates and loads in, a choice out.
+// The package is pure: targets and loads in, a choice out.
 package place
 
 import (
@@ -54,12 +55,15 @@
 	return x ^ x>>33
 }
 
-// Candidate is a target that could serve a request now.
-type Candidate struct {
+// Rank is what places a target in the order of an object.
+type Rank struct {
 	Seed Seed
-	// Weight is how often the target comes first for an object, against the others;
-	// 0 means 1.
+	// Weight is how often the target comes first for an object, against the others.
 	Weight float64
+}
+
+// Candidate is a target that could serve a request now.
+type Candidate struct {
 	// Slots is how many requests the target works on at once.
 	Slots int
 	// Load is the estimate of the requests that run or wait there.
@@ -95,66 +99,54 @@
 // crowd end in queues of targets that do not know their object (TestCrowd).
 const DefaultSpread = 2
 
-// Options bound how far an object's requests spread.
-type Options struct {
-	// Spread is how many targets an object may use.
-	Spread int
-	// Hold is by which part a later target must be cheaper than an earlier one
-	// to be used, so that small differences in what VMs know do not scatter objects.
-	Hold float64
-}
-
-// Choose returns the index of the target for an object and its place in the
-// object's own order: the first, unless a later one is cheaper by enough.
-// Targets that skip names are left out.
-func Choose(k Key, c []Candidate, o Options, skip func(int) bool) (index, rank int, ok bool) {
-	index = -1
-	for r, i := range Order(k, c, o.Spread) {
-		if skip(i) {
+// Choose returns the index of the target for an object among its first ones, in
+// its order: the first, unless a later one is cheaper by a part of hold, so that
+// small differences in what VMs know do not scatter objects. Targets that skip
+// names are left out.
+func Choose[T any](first []T, hold float64, candidate func(T) Candidate, skip func(T) bool) (int, bool) {
+	index, least := -1, time.Duration(0)
+	for i, t := range first {
+		if skip(t) {
 			continue
 		}
-		if index < 0 || float64(c[i].Cost()) < float64(c[index].Cost())*(1-o.Hold) {
-			index, rank = i, r
+		cost := candidate(t).Cost()
+		if index < 0 || float64(cost) < float64(least)*(1-hold) {
+			index, least = i, cost
 		}
 	}
-	return index, rank, index >= 0
+	return index, index >= 0
 }
 
-// Order returns the indexes of an object's first targets, in its order.
-func Order(k Key, c []Candidate, most int) []int {
+// First returns an object's first targets of a list, in its order. Targets that
+// may not be used are left out; only few are asked.
+func First[T any](k Key, list []T, most int, use func(T) bool, rank func(T) Rank) []T {
 	type scored struct {
-		index int
+		t     T
 		score float64
 	}
 	best := make([]scored, 0, most+1)
-	for i, x := range c {
-		s := scored{i, x.score(k)}
+	for _, t := range list {
+		s := scored{t, rank(t).score(k)}
 		at, _ := slices.BinarySearchFunc(best, s, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-		if at >= most {
+		if at >= most || !use(t) {
 			continue
 		}
 		best = slices.Insert(best, at, s)
-		if len(best) > most {
-			best = best[:most]
-		}
+		best = best[:min(len(best), most)]
 	}
-	out := make([]int, len(best))
+	out := make([]T, len(best))
 	for i, s := range best {
-		out[i] = s.index
+		out[i] = s.t
 	}
 	return out
 }
 
 // score is that of weighted rendezvous hashing (Schindelhauer and Schomaker,
 // "Weighted Distributed Hash Tables", 2005): -w/ln(u) for a uniform u.
-func (c Candidate) score(k Key) float64 {
+func (r Rank) score(k Key) float64 {
 	const steps = 1 << 53
-	u := (float64(mix(uint64(k)^uint64(c.Seed))>>11) + 0.5) / steps
-	w := c.Weight
-	if w == 0 {
-		w = 1
-	}
-	return -w / math.Log(u)
+	u := (float64(mix(uint64(k)^uint64(r.Seed))>>11) + 0.5) / steps
+	return -r.Weight / math.Log(u)
 }
 
 // mostPreferred bounds how much more often a near target comes first than a far
@@ -176,15 +168,15 @@
 	return min(mostPreferred, max(1, stay/(1-stay)*(1-part)/part))
 }
 
-// Least returns the cheaper of two candidates that the pick names, which
+// Least returns the index of the cheaper of two targets that the pick names, which
 // spreads requests for no object in particular.
-func Least(pick Key, c []Candidate) (int, bool) {
-	if len(c) == 0 {
+func Least[T any](pick Key, list []T, candidate func(T) Candidate) (int, bool) {
+	if len(list) == 0 {
 		return 0, false
 	}
-	n := uint64(len(c))
+	n := uint64(len(list))
 	a, b := int(uint64(pick)%n), int(mix(uint64(pick))%n)
-	if c[b].Cost() < c[a].Cost() {
+	if candidate(list[b]).Cost() < candidate(list[a]).Cost() {
 		return b, true
 	}
 	return a, true
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -8,26 +8,70 @@
 	"gotest.tools/v3/assert"
 )
 
-func candidates(n int) []Candidate {
-	var c []Candidate
+// placed is a target with what a VM knows of it.
+type placed struct {
+	Rank
+	Candidate
+}
+
+func candidates(n int) []placed {
+	var c []placed
 	for i := range n {
-		c = append(c, Candidate{Seed: SeedOf(fmt.Sprintf("i-%d", i)), Slots: 3, Each: 200 * time.Millisecond, Work: 200 * time.Millisecond})
+		c = append(c, placed{
+			Rank{Seed: SeedOf(fmt.Sprintf("i-%d", i)), Weight: 1},
+			Candidate{Slots: 3, Each: 200 * time.Millisecond, Work: 200 * time.Millisecond},
+		})
 	}
 	return c
 }
 
+// order returns the indexes of an object's first targets.
+func order(k Key, c []placed, most int) []int {
+	index := make([]int, len(c))
+	for i := range c {
+		index[i] = i
+	}
+	return First(k, index, most, func(int) bool { return true }, func(i int) Rank { return c[i].Rank })
+}
+
+// choose returns the index of an object's target, and its place in the order.
+func choose(k Key, c []placed, spread int, hold float64, skip func(int) bool) (index, rank int, ok bool) {
+	first := order(k, c, spread)
+	rank, ok = Choose(first, hold, func(i int) Candidate { return c[i].Candidate }, skip)
+	if !ok {
+		return 0, 0, false
+	}
+	return first[rank], rank, true
+}
+
 func none(int) bool { return false }
 
+// A target that may not be used leaves its place to the next one.
+func TestUnusableIsLeftOut(t *testing.T) {
+	c := candidates(16)
+	for k := range 200 {
+		key := KeyOf("r", fmt.Sprint(k))
+		all := order(key, c, 3)
+		rank := func(i int) Rank { return c[i].Rank }
+		index := []int{}
+		for i := range c {
+			index = append(index, i)
+		}
+		without := First(key, index, 2, func(i int) bool { return i != all[0] }, rank)
+		assert.DeepEqual(t, without, all[1:])
+	}
+}
+
 // All VMs come to the same order, whatever the order in which they know the targets.
 func TestOrderIsTheSameEverywhere(t *testing.T) {
 	c := candidates(16)
-	back := make([]Candidate, len(c))
+	back := make([]placed, len(c))
 	for i := range c {
 		back[len(c)-1-i] = c[i]
 	}
 	for k := range 100 {
 		key := KeyOf("r", fmt.Sprint(k))
-		a, b := Order(key, c, 3), Order(key, back, 3)
+		a, b := order(key, c, 3), order(key, back, 3)
 		for i := range a {
 			assert.Equal(t, c[a[i]].Seed, back[b[i]].Seed)
 		}
@@ -39,8 +83,8 @@
 	c := candidates(16)
 	for k := range 500 {
 		key := KeyOf("r", fmt.Sprint(k))
-		before := Order(key, c, 1)[0]
-		after := Order(key, c[1:], 1)[0] + 1
+		before := order(key, c, 1)[0]
+		after := order(key, c[1:], 1)[0] + 1
 		if before != 0 {
 			assert.Equal(t, before, after)
 		}
@@ -55,7 +99,7 @@
 		low    float64
 		high   float64
 	}{
-		{"even", 0, 0.20, 0.30},
+		{"even", 1, 0.20, 0.30},
 		{"near targets four times", 4, 0.52, 0.62},
 	}
 	for _, tt := range tests {
@@ -67,7 +111,7 @@
 			const objects = 4000
 			near := 0
 			for k := range objects {
-				if Order(KeyOf("r", fmt.Sprint(k)), c, 1)[0] < 4 {
+				if order(KeyOf("r", fmt.Sprint(k)), c, 1)[0] < 4 {
 					near++
 				}
 			}
@@ -126,7 +170,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := candidates(5)
 			key := KeyOf("r", "17")
-			first := Order(key, c, 1)[0]
+			first := order(key, c, 1)[0]
 			for i := range c {
 				c[i].Work = cold
 				if tt.known {
@@ -134,7 +178,7 @@
 				}
 			}
 			c[first].Load, c[first].Work = tt.load, warm
-			i, rank, ok := Choose(key, c, Options{Spread: 3, Hold: 0.2}, none)
+			i, rank, ok := choose(key, c, 3, 0.2, none)
 			assert.Assert(t, ok)
 			assert.Equal(t, i == first, tt.first)
 			assert.Equal(t, rank == 0, tt.first)
@@ -144,9 +188,9 @@
 
 func TestSkipped(t *testing.T) {
 	c := candidates(2)
-	_, _, ok := Choose(1, c, Options{Spread: 3}, func(int) bool { return true })
+	_, _, ok := choose(1, c, 3, 0, func(int) bool { return true })
 	assert.Assert(t, !ok)
-	_, ok = Least(1, nil)
+	_, ok = Least(1, nil, func(c placed) Candidate { return c.Candidate })
 	assert.Assert(t, !ok)
 }
 
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -93,8 +93,10 @@
 			o, v := s.o.Node.Machine().Objects()
 			c, err := model.NewCatalogue(v, o)
 			assert.NilError(t, err)
-			assert.Equal(t, c.Targets["t"].State, tt.state)
-			assert.Equal(t, c.Targets["t"].Incarnation, tt.born)
+			held, ok := c.Targets.Get("t")
+			assert.Assert(t, ok)
+			assert.Equal(t, held.State, tt.state)
+			assert.Equal(t, held.Incarnation, tt.born)
 		})
 	}
 }
@@ -110,7 +112,8 @@
 		o, v := s.o.Node.Machine().Objects()
 		c, err := model.NewCatalogue(v, o)
 		assert.NilError(t, err)
-		return c.Targets[model.TargetID(id)].State
+		held, _ := c.Targets.Get(model.TargetID(id))
+		return held.State
 	}
 	assert.NilError(t, s.Announce(ctx, former, 1))
 	assert.NilError(t, s.Announce(ctx, later, 1))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/lease"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log"
@@ -142,13 +143,20 @@
 	return c.NoContent(http.StatusOK)
 }
 
+// catalogueVersion is that of the catalogue built last, 0 before the first.
+func (s *Server) catalogueVersion() model.Version {
+	if s.catalogue == nil {
+		return 0
+	}
+	return s.catalogue.Version
+}
+
 // refresh builds the catalogue if the state machine has a newer one.
 func (s *Server) refresh() error {
 	if s.catalogue != nil && s.catalogue.Version == s.o.Node.Machine().Version() {
 		return nil
 	}
-	o, v := s.o.Node.Machine().Objects()
-	c, err := model.NewCatalogue(v, o)
+	c, err := state.Advance(s.catalogue, s.o.Node.Machine().Delta(uint64(s.catalogueVersion())))
 	if err != nil {
 		return err
 	}
--- a/pkg/model/build.go
+++ b/pkg/model/build.go
@@ -5,9 +5,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"regexp"
 	"slices"
-	"strings"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
 	"sigs.k8s.io/yaml"
@@ -35,10 +35,10 @@
 	return f.Objects, nil
 }
 
-// Catalogue is the world at one version. It is not changed after it was built.
+// Catalogue is the world at one version. It is not changed after it was built;
+// With returns a later one, which shares what did not change.
 type Catalogue struct {
 	Version  Version
-	Objects  map[string]Object
 	Owners   map[OwnerID]Owner
 	Regions  map[RegionID]Region
 	Domains  map[FailureDomainID]FailureDomain
@@ -50,30 +50,73 @@
 	Drains   []Drain
 	// Routing is nil before an operator has sent one.
 	Routing *Routing
-	Targets map[TargetID]Target
+	Targets Targets
+
+	// placed are the objects other than targets and documents, by key.
+	placed map[string]Object
+	routes routeIndex
+	steps  []step
 }
 
 // NewCatalogue builds a catalogue and checks that its objects fit together.
 func NewCatalogue(v Version, objects []Object) (*Catalogue, error) {
-	c := &Catalogue{
-		Version: v, Objects: map[string]Object{}, Owners: map[OwnerID]Owner{},
-		Regions: map[RegionID]Region{}, Domains: map[FailureDomainID]FailureDomain{},
-		Links: map[[2]RegionID]Link{}, Services: map[ServiceID]Service{},
-		Classes: map[ServiceID]map[ClassID]Class{}, Targets: map[TargetID]Target{},
-	}
-	sorted := slices.Clone(objects)
-	slices.SortFunc(sorted, func(a, b Object) int { return strings.Compare(a.Key(), b.Key()) })
-	for _, o := range sorted {
-		if err := c.add(o); err != nil {
-			return nil, fault.Newf("model.NewCatalogue", KindInvalid, "%s: %v", o.Key(), err)
+	const op = "model.NewCatalogue"
+	c := &Catalogue{Version: v, placed: map[string]Object{}}
+	seen := map[string]bool{}
+	t := newTargetsBuilder()
+	for _, o := range objects {
+		err := o.check()
+		if err == nil && seen[o.Key()] {
+			err = fmt.Errorf("object occurs twice")
+		}
+		if err == nil {
+			err = c.sort(o, t)
 		}
+		if err != nil {
+			return nil, fault.Newf(op, KindInvalid, "%s: %v", o.Key(), err)
+		}
+		seen[o.Key()] = true
 	}
-	if err := c.check(); err != nil {
-		return nil, fault.New("model.NewCatalogue", KindInvalid, err)
+	c.Targets = t.targets()
+	if err := c.place(nil); err != nil {
+		return nil, fault.New(op, KindInvalid, err)
 	}
 	return c, nil
 }
 
+// sort puts an object where its kind belongs.
+func (c *Catalogue) sort(o Object, t targetsBuilder) error {
+	switch o.Kind {
+	case ObjectDocument:
+		return nil
+	case ObjectTarget:
+		x, err := decodeTarget(o)
+		t.put(x)
+		return err
+	}
+	c.placed[o.Key()] = o
+	return nil
+}
+
+// place builds what the objects other than targets and documents say. A routing
+// that an earlier catalogue has built from the same object is taken from there.
+func (c *Catalogue) place(earlier *Catalogue) error {
+	c.Owners, c.Regions, c.Domains = map[OwnerID]Owner{}, map[RegionID]Region{}, map[FailureDomainID]FailureDomain{}
+	c.Links, c.Services, c.Classes = map[[2]RegionID]Link{}, map[ServiceID]Service{}, map[ServiceID]map[ClassID]Class{}
+	c.Caps, c.Policies, c.Drains, c.Routing, c.routes = nil, nil, nil, nil, nil
+	for _, k := range slices.Sorted(maps.Keys(c.placed)) {
+		o := c.placed[k]
+		if o.Kind == ObjectRouting && earlier != nil && earlier.Routing != nil && bytes.Equal(earlier.placed[k].Spec, o.Spec) {
+			c.Routing, c.routes = earlier.Routing, earlier.routes
+			continue
+		}
+		if err := c.addSpec(o); err != nil {
+			return fmt.Errorf("%s: %w", k, err)
+		}
+	}
+	return c.check()
+}
+
 func decode[T any](o Object, t *T) error {
 	d := json.NewDecoder(bytes.NewReader(o.Spec))
 	d.DisallowUnknownFields()
@@ -83,18 +126,15 @@
 	return nil
 }
 
-func (c *Catalogue) add(o Object) error {
+// check checks what holds for objects of all kinds.
+func (o Object) check() error {
 	if len(o.Name) > maxNameBytes || !nameRE.MatchString(o.Name) {
 		return fmt.Errorf("name %q is not letters, digits, '.', '_' and '-', at most %d", o.Name, maxNameBytes)
 	}
 	if o.Owner == "" {
 		return fmt.Errorf("owner is missing")
 	}
-	if _, ok := c.Objects[o.Key()]; ok {
-		return fmt.Errorf("object occurs twice")
-	}
-	c.Objects[o.Key()] = o
-	return c.addSpec(o)
+	return nil
 }
 
 func (c *Catalogue) addSpec(o Object) error {
@@ -135,15 +175,8 @@
 		err := decode(o, &x)
 		c.Drains = append(c.Drains, x)
 		return err
-	case ObjectTarget:
-		x := Target{ID: TargetID(o.Name)}
-		err := decode(o, &x)
-		c.Targets[x.ID] = x
-		return err
 	case ObjectRouting:
 		return c.addRouting(o)
-	case ObjectDocument:
-		return nil
 	}
 	return fmt.Errorf("kind %q does not exist", o.Kind)
 }
@@ -156,7 +189,7 @@
 	if err := decode(o, x); err != nil {
 		return err
 	}
-	c.Routing = x
+	c.Routing, c.routes = x, x.index()
 	return x.check()
 }
 
--- a/pkg/model/routing.go
+++ b/pkg/model/routing.go
@@ -149,20 +149,41 @@
 	return nil
 }
 
-// Match returns the route with the longest prefix that begins the path.
-func (r *Routing) Match(host, path string) (Route, bool) {
-	var best Route
-	for _, h := range r.Hosts {
-		if !strings.EqualFold(h.Host, host) {
-			continue
+// routeIndex finds the routes of a host, in small letters, by their prefixes.
+type routeIndex map[string]map[string]*Route
+
+// index returns the routes by host and prefix. Of two routes with the same prefix
+// the first counts.
+func (r *Routing) index() routeIndex {
+	x := routeIndex{}
+	for i, h := range r.Hosts {
+		n := strings.ToLower(h.Host)
+		if x[n] == nil {
+			x[n] = make(map[string]*Route, len(h.Routes))
 		}
-		for _, x := range h.Routes {
-			if len(x.Prefix) > len(best.Prefix) && strings.HasPrefix(path, x.Prefix) {
-				best = x
+		for j, p := range h.Routes {
+			if _, ok := x[n][p.Prefix]; !ok {
+				x[n][p.Prefix] = &r.Hosts[i].Routes[j]
 			}
 		}
 	}
-	return best, best.Prefix != ""
+	return x
+}
+
+// Match returns the route with the longest prefix that begins the path.
+func (c *Catalogue) Match(host, path string) (Route, bool) {
+	routes := c.routes[strings.ToLower(host)]
+	for len(routes) > 0 {
+		i := strings.LastIndexByte(path, '/')
+		if i < 0 {
+			break
+		}
+		if r, ok := routes[path[:i+1]]; ok {
+			return *r, true
+		}
+		path = path[:i]
+	}
+	return Route{}, false
 }
 
 // Service returns what the routing says of a service.
