Let a candidate wait less once others have got votes

Cause of the known red TestSlowDisks/replicas=5/seed=4 and 54: two candidates of one term split the votes of five replicas whose writes take 450 to 900 ms. Each then waited for the rest of the votes for up to an election timeout and twice a write, though a replica had already told it that it had voted for another one.

Excluded: that the candidate which gives up its own vote is wrong to do so. With one replica down it decides the election where the others split evenly, and costs it where they do not; nobody knows which while the votes are being written.

Change: a refusal in its own term lets a candidate try again after half to a whole election timeout. Those who voted wait longer, so that it does so alone.

Before and after, go test ./internal/node -run TestSlowDisks -seeds 60: 2 of 120 runs without a leader after 5 s (the two seeds), then none. Both seeds are now always played.

--- a/internal/node/slow_test.go
+++ b/internal/node/slow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +20,17 @@
 		inForce = 5 * time.Second
 		calm    = 10 * time.Second
 	)
+	// Elections of these seeds failed once: two candidates split the votes, and
+	// waited for the rest of them longer than the bound.
+	failed := map[int][]uint64{5: {4, 54}}
 	for _, replicas := range []int{3, 5} {
+		list := failed[replicas]
 		for seed := range seeds(t) {
+			if !slices.Contains(list, seed) {
+				list = append(list, seed)
+			}
+		}
+		for _, seed := range list {
 			t.Run(fmt.Sprintf("replicas=%d/seed=%d", replicas, seed), func(t *testing.T) {
 				t.Parallel()
 				s := newSim(t, seed, replicas)
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -140,13 +140,25 @@
 }
 
 func (r *Raft) stepVoteReply(m *eelpb.Message) {
-	if r.role != Candidate || m.Reject || !r.knows(m) {
+	if r.role != Candidate || !r.knows(m) {
+		return
+	}
+	if m.Reject {
+		r.rejected()
 		return
 	}
 	r.votes[ReplicaID(m.From)] = true
 	r.countVotes()
 }
 
+// rejected bounds how long a candidate still waits for votes once another has got
+// some: with the votes split nobody wins, and those who voted wait longer for the
+// next try, so that they do not split it again.
+func (r *Raft) rejected() {
+	d := r.c.ElectionTimeout
+	r.electAt = min(r.electAt, r.now+d/2+time.Duration(r.c.Rand.Int64N(int64(d/2))))
+}
+
 // refuseOld tells the leader of an older term that its term is over.
 func (r *Raft) refuseOld(m *eelpb.Message) {
 	switch m.Kind {
