Heed targets that leave or pause, and bound bytes without end

Cause: an answer's header that the target leaves was not read, a target's 503 with Retry-After was sent requests again at once, and what a target sends was bounded by 64 MiB a body only: a head without end made a VM hold 222 MB in the 2 s of one request (figure of the issue). A refusal without an id kept its connection, so that a late second copy of it was taken for the answer to the next request, which ran.

Excluded: telling the other VMs what one has heard. The target tells each of them with its answers and the replicas with its announcements; the bound is each VM's own.

Change: from such an answer on a target gets nothing new until it starts again; those who wait at its desk turn to others at once. A pause (503, whole and fractional seconds, at most 5 minutes; absent, negative or unreadable means none) is kept, then the target is let back one request at a time. Where all pause, callers are refused with the time until the first comes back, spread. A word that comes with an answer to another request, or with 421, is not the target's. Heads are bounded to 64 KiB with the interim answers before them, large answers to an eighth of the VM's memory for all together (the first 32 KiB of each are free), idle connections are looked at once a second and closed where bytes came. After a refusal without an id the connection is closed.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
@@ -27,6 +28,9 @@
 	// stopMargin is kept free before the platform ends a process that does not stop.
 	stopMargin = 500 * time.Millisecond
 	stopPoll   = 50 * time.Millisecond
+	// answerPart divides the memory limit to give what large answers take at most;
+	// they grow by copies.
+	answerPart = 8
 )
 
 func runEntry(d *daemon) error {
@@ -40,7 +44,7 @@
 	}
 	f := front.New(front.Options{
 		Domain: s.Domain, World: x, Dialect: platform.Dialect, Log: d.l, Dial: d.dial,
-		StaleFor: staleFor, BeatEvery: s.Heartbeat,
+		StaleFor: staleFor, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
 		Budget: front.BudgetOptions{Ratio: s.RetryRatio * ratioPart, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
 	d.serveMetrics(func() any { return entryMetrics{x.Metrics(), f.Metrics()} })
@@ -58,10 +62,7 @@
 	}
 	err = d.wait(nil, func(s *platform.Settings) { x.Learn(s.Seeds) })
 	d.leave(x, f, s.Grace)
-	if e := x.Close(); err == nil {
-		err = e
-	}
-	return err
+	return errors.Join(err, f.Close(), x.Close())
 }
 
 type entryMetrics struct {
--- /dev/null
+++ b/internal/front/answer.go
@@ -0,0 +1,171 @@
+package front
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// maxHeadBytes bounds the head of an answer, with the interim ones before it.
+	maxHeadBytes = 64 << 10
+	// maxInterim bounds the interim answers (status 1xx) before an answer.
+	maxInterim = 8
+	// maxAnswerBytes bounds an answer that is read whole.
+	maxAnswerBytes = 64 << 20
+	// maxFramingBytes is what chunks and their sizes may add to an answer.
+	maxFramingBytes = maxAnswerBytes / 4
+	// firstAnswerBytes of each answer are held without asking, so that answers of the
+	// usual size are read while large ones, or those without end, have filled the rest.
+	firstAnswerBytes = 32 << 10
+)
+
+var (
+	errHeadTooLong = errors.New("the head of the answer, or the answers before it, do not end")
+	errTooLong     = errors.New("the answer is over the bound of one that is read whole")
+	errNoRoom      = errors.New("large answers fill the memory that is kept for them")
+)
+
+// bounded bounds what is read from a connection.
+type bounded struct {
+	r    io.Reader
+	left int64
+	// over is the error where nothing is left.
+	over error
+}
+
+// Read reads while the bound allows it.
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, b.over
+	}
+	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
+func (b *bounded) allow(n int64, over error) { b.left, b.over = n, over }
+
+// holding is the memory that the answers to one request take, out of that of all.
+type holding struct {
+	all   *semaphore.Weighted
+	taken int64
+}
+
+func (h *holding) take(n int64) bool {
+	if !h.all.TryAcquire(n) {
+		return false
+	}
+	h.taken += n
+	return true
+}
+
+func (h *holding) release() {
+	h.all.Release(h.taken)
+	h.taken = 0
+}
+
+// readAll reads a body to its end.
+func (h *holding) readAll(r io.Reader) ([]byte, error) {
+	b := make([]byte, 0, bufferBytes)
+	for {
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case errors.Is(err, io.EOF):
+			return b, nil
+		case err != nil:
+			return nil, err
+		case len(b) > maxAnswerBytes:
+			return nil, errTooLong
+		}
+		if len(b) < cap(b) {
+			continue
+		}
+		more := 2 * cap(b)
+		if more > firstAnswerBytes && !h.take(int64(more-cap(b))) {
+			return nil, errNoRoom
+		}
+		b = append(make([]byte, 0, more), b...)
+	}
+}
+
+// bufferBytes is what an answer is given to begin with.
+const bufferBytes = 4 << 10
+
+// read reads one final answer and the id that it bears. It tells whether another
+// answer may follow on the connection. After an error the connection cannot be used.
+func (x *conn) read(q call) (r result, id string, more bool, err error) {
+	a, err := x.readHead(q.method)
+	if err != nil {
+		return r, "", false, err
+	}
+	if a.ContentLength > maxAnswerBytes {
+		return r, "", false, errTooLong
+	}
+	x.in.allow(maxAnswerBytes+maxFramingBytes, errTooLong)
+	body, err := q.hold.readAll(a.Body)
+	if err != nil {
+		return r, "", false, err
+	}
+	framed := a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || !bodyAllowed(a.StatusCode) || q.method == http.MethodHead
+	more = framed && !a.Close
+	x.until = time.Now().Add(keepFor(a.Header))
+	id = a.Header.Get(q.dialect.RequestID)
+	r = result{status: a.StatusCode, body: body, header: forwarded(a.Header)}
+	r.load, r.loaded = q.dialect.loadOf(a.Header)
+	if a.Header.Get(q.dialect.NotRun) != "" || a.StatusCode == http.StatusMisdirectedRequest {
+		r.outcome = notRun
+		r.wrongTarget = a.StatusCode == http.StatusMisdirectedRequest
+		if id == "" {
+			// A target that refuses may do so before it has read the id. A second copy of
+			// such an answer could not be told from the answer to a later request.
+			id, more = q.id, false
+		}
+	}
+	if !r.wrongTarget {
+		r.leaving = a.Header.Get(q.dialect.Leaving) == leavingValue
+		r.pause = pauseOf(a.StatusCode, a.Header)
+	}
+	return r, id, more, nil
+}
+
+// readHead reads the head of a final answer.
+func (x *conn) readHead(method string) (*http.Response, error) {
+	x.in.allow(maxHeadBytes, errHeadTooLong)
+	for range maxInterim {
+		a, err := http.ReadResponse(x.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if a.StatusCode >= http.StatusOK {
+			return a, nil
+		}
+	}
+	return nil, errHeadTooLong
+}
+
+func newReader(r io.Reader) (*bounded, *bufio.Reader) {
+	b := &bounded{r: r}
+	return b, bufio.NewReaderSize(b, bufferBytes)
+}
+
+// keepFor returns how long a connection may be kept idle.
+func keepFor(h http.Header) time.Duration {
+	for _, p := range strings.Split(h.Get("Keep-Alive"), ",") {
+		n, v, _ := strings.Cut(strings.TrimSpace(p), "=")
+		if !strings.EqualFold(n, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(v); err == nil {
+			return max(0, time.Duration(s)*time.Second-idleMargin)
+		}
+	}
+	return idleLife
+}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -5,11 +5,10 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -24,8 +23,6 @@
 	idleLife = 4 * time.Second
 	// idleMargin is how much earlier than the target this side closes.
 	idleMargin = time.Second
-	// maxAnswerBytes bounds an answer that is read whole.
-	maxAnswerBytes = 64 << 20
 	// maxStray bounds the answers to other requests that are passed over on a connection.
 	maxStray = 4
 )
@@ -39,6 +36,7 @@
 	target            model.TargetID
 	left              time.Duration
 	dialect           Dialect
+	hold              *holding
 }
 
 // conns are the connections to one target. One carries one request at a time.
@@ -53,6 +51,7 @@
 
 type conn struct {
 	net.Conn
+	in   *bounded
 	r    *bufio.Reader
 	used bool
 	// until is when the connection is too old to be used again.
@@ -88,7 +87,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, r: bufio.NewReader(n)}, nil
+	in, r := newReader(n)
+	return &conn{Conn: n, in: in, r: r}, nil
 }
 
 // put keeps a connection for another request.
@@ -102,6 +102,20 @@
 	c.idle = append(c.idle, x)
 }
 
+// sweep closes idle connections that are too old, that the other side has closed,
+// or on which bytes came that nobody asked for and that would fill the memory.
+func (c *conns) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = slices.DeleteFunc(c.idle, func(x *conn) bool {
+		if now.Before(x.until) && x.quiet() {
+			return false
+		}
+		x.Close()
+		return true
+	})
+}
+
 func (c *conns) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,44 +204,6 @@
 	return b.Bytes()
 }
 
-// read reads one final answer and the id that it bears. It tells whether another
-// answer may follow on the connection.
-func (x *conn) read(q call) (r result, id string, more bool, err error) {
-	var a *http.Response
-	for {
-		a, err = http.ReadResponse(x.r, &http.Request{Method: q.method})
-		if err != nil {
-			return r, "", false, err
-		}
-		if a.StatusCode >= http.StatusOK {
-			break
-		}
-	}
-	defer a.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if err != nil {
-		return r, "", false, err
-	}
-	if len(body) > maxAnswerBytes {
-		return r, "", false, errors.New("answer is over the bound of one that is read whole")
-	}
-	framed := a.ContentLength >= 0 || len(a.TransferEncoding) > 0 || !bodyAllowed(a.StatusCode) || q.method == http.MethodHead
-	more = framed && !a.Close
-	x.until = time.Now().Add(keepFor(a.Header))
-	id = a.Header.Get(q.dialect.RequestID)
-	r = result{status: a.StatusCode, body: body, header: forwarded(a.Header)}
-	r.load, r.loaded = q.dialect.loadOf(a.Header)
-	if a.Header.Get(q.dialect.NotRun) != "" || a.StatusCode == http.StatusMisdirectedRequest {
-		r.outcome = notRun
-		r.wrongTarget = a.StatusCode == http.StatusMisdirectedRequest
-		// A target that refuses may do so before it has read the id.
-		if id == "" {
-			id = q.id
-		}
-	}
-	return r, id, more, nil
-}
-
 // judge tells what an answer to the request means.
 func (q call) judge(r result) result {
 	if r.outcome == notRun {
@@ -252,17 +228,3 @@
 	}
 	return false
 }
-
-// keepFor returns how long a connection may be kept idle.
-func keepFor(h http.Header) time.Duration {
-	for _, p := range strings.Split(h.Get("Keep-Alive"), ",") {
-		n, v, _ := strings.Cut(strings.TrimSpace(p), "=")
-		if !strings.EqualFold(n, "timeout") {
-			continue
-		}
-		if s, err := strconv.Atoi(v); err == nil {
-			return max(0, time.Duration(s)*time.Second-idleMargin)
-		}
-	}
-	return idleLife
-}
--- a/internal/front/decide.go
+++ b/internal/front/decide.go
@@ -45,6 +45,12 @@
 	loaded bool
 	// wrongTarget says that another target has the address.
 	wrongTarget bool
+	// leaving says that the target told that it leaves.
+	leaving bool
+	// pause is how long the target wants nothing from this VM.
+	pause time.Duration
+	// moved says that the target stopped taking requests while this one waited.
+	moved bool
 	// waited is how long the request was in the queue of its target.
 	waited time.Duration
 	// retryIn is how long a refused request would have waited.
--- a/internal/front/dialect.go
+++ b/internal/front/dialect.go
@@ -1,9 +1,11 @@
 package front
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
@@ -24,12 +26,14 @@
 	NotRun string
 	// Load tells how many requests run and wait at a target, and its slots.
 	Load string
+	// Leaving says, as "1", that the target leaves and wants nothing new.
+	Leaving string
 }
 
 // Native is the project's own dialect.
 var Native = Dialect{
 	RequestID: wire.HeaderRequestID, Deadline: wire.HeaderDeadline, Object: "Eel-Object",
-	Digest: "Eel-Digest", WantTarget: "Eel-Want-Target", NotRun: wire.HeaderShed, Load: "Eel-Load",
+	Digest: "Eel-Digest", WantTarget: "Eel-Want-Target", NotRun: wire.HeaderShed, Load: "Eel-Load", Leaving: "Eel-Leaving",
 }
 
 // load is what a target says of itself.
@@ -56,6 +60,27 @@
 	return load{Running: n[0], Waiting: n[1], Slots: n[2]}, true
 }
 
+const (
+	leavingValue = "1"
+	retryAfter   = "Retry-After"
+	// longestPause bounds the pause that a target may ask for.
+	longestPause = 5 * time.Minute
+)
+
+// pauseOf returns how long a target that refuses wants nothing: seconds, fractions
+// too (RFC 9110, section 10.2.3, has whole ones). A value that is missing, cannot be
+// read or is not above 0 means no pause.
+func pauseOf(status int, h http.Header) time.Duration {
+	if status != http.StatusServiceUnavailable {
+		return 0
+	}
+	s, err := strconv.ParseFloat(strings.TrimSpace(h.Get(retryAfter)), 64)
+	if err != nil || math.IsNaN(s) || s <= 0 {
+		return 0
+	}
+	return time.Duration(min(s, longestPause.Seconds()) * float64(time.Second))
+}
+
 // connectionHeaders concern one connection only (RFC 9110, section 7.6.1).
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -16,22 +16,32 @@
 type queue struct {
 	mu    sync.Mutex
 	desk  *desk.Desk
-	start map[*desk.Ticket]chan struct{}
+	start map[*desk.Ticket]chan turn
 }
 
+// turn is what becomes of a request that waits.
+type turn int
+
+const (
+	// begin: the request may be sent.
+	begin turn = iota
+	// moveOn: the target takes no more requests, and this one is out of the queue.
+	moveOn
+)
+
 func newQueue(slots int) *queue {
-	return &queue{desk: desk.New(slots), start: map[*desk.Ticket]chan struct{}{}}
+	return &queue{desk: desk.New(slots), start: map[*desk.Ticket]chan turn{}}
 }
 
-// admit takes a request in; the channel is closed when it may start.
-func (q *queue) admit(a desk.Ask, now time.Duration) (*desk.Ticket, <-chan struct{}, time.Duration, string) {
+// admit takes a request in; the channel tells once when it need not wait longer.
+func (q *queue) admit(a desk.Ask, now time.Duration) (*desk.Ticket, <-chan turn, time.Duration, string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	t, wait, why := q.desk.Admit(a, now)
 	if t == nil {
 		return nil, nil, wait, why
 	}
-	c := make(chan struct{})
+	c := make(chan turn, 1)
 	q.start[t] = c
 	q.pump(now)
 	if at := q.desk.Again(t); at > now && q.start[t] != nil {
@@ -50,11 +60,22 @@
 // pump starts what may start; the caller holds the lock.
 func (q *queue) pump(now time.Duration) {
 	for _, t := range q.desk.Start(now) {
-		close(q.start[t])
+		q.start[t] <- begin
 		delete(q.start, t)
 	}
 }
 
+// release lets all who wait turn to other targets at once.
+func (q *queue) release() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for t, c := range q.start {
+		q.desk.Leave(t)
+		c <- moveOn
+	}
+	clear(q.start)
+}
+
 // leave takes out a request that has not started, and tells whether it had not.
 func (q *queue) leave(t *desk.Ticket) bool {
 	q.mu.Lock()
@@ -97,12 +118,17 @@
 	}
 	left, cancel := context.WithTimeout(ctx, j.until-now)
 	defer cancel()
+	next := begin
 	select {
-	case <-start:
+	case next = <-start:
 	case <-left.Done():
 		if t.queue.leave(ticket) {
 			return result{outcome: refused, reason: "the deadline passed in the queue"}
 		}
+		next = <-start
+	}
+	if next == moveOn {
+		return result{outcome: refused, moved: true, reason: "the target takes no more requests"}
 	}
 	from := f.now()
 	r, knew := f.exchange(ctx, j, t)
@@ -145,7 +171,7 @@
 	knew = !j.keyed || t.warm.Knows(j.key)
 	r = t.conns.exchange(ctx, call{
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
-		id: j.id, target: t.id, left: rest, dialect: f.o.Dialect,
+		id: j.id, target: t.id, left: rest, dialect: f.o.Dialect, hold: j.hold,
 	})
 	if r.outcome == unknown && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		r.outcome, r.reason = late, "no answer before the deadline"
@@ -154,7 +180,9 @@
 	if r.outcome == answered && !r.failed() && j.keyed {
 		t.warm.Note(j.key)
 	}
-	t.ended(r, f.now())
+	if what := t.ended(r, f.now()); what != "" {
+		f.logTarget(j, t, r, what)
+	}
 	f.metrics.sent(r, took)
 	return r, knew
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -11,21 +11,25 @@
 //	f := front.New(front.Options{World: entry, Dialect: front.Native, Log: l})
 //	http.Serve(listener, f)
 //	f.Drain()
+//	err := f.Close()
 //
 // Decisions about targets, retries and budgets are in files of their own and
 // need no network.
 package front
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/clock"
+	"github.com/eelgrassroad/eelgrassroad/internal/group"
 	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
+	"golang.org/x/sync/semaphore"
 )
 
 // World is what the front knows of the rest of the system.
@@ -55,8 +59,17 @@
 	StaleFor time.Duration
 	// BeatEvery is the time between two announcements of a target.
 	BeatEvery time.Duration
+	// AnswerBytes bounds the large answers that are held at a time, all together;
+	// 0 means DefaultAnswerBytes.
+	AnswerBytes int64
 }
 
+// DefaultAnswerBytes bounds the large answers of all requests.
+const DefaultAnswerBytes = 64 << 20
+
+// sweepEvery is how often idle connections are looked at.
+const sweepEvery = time.Second
+
 // BudgetOptions bound the second sends of one VM to a service.
 type BudgetOptions struct {
 	// Ratio is the most second sends for each request.
@@ -75,20 +88,36 @@
 	budgets  budgets
 	works    works
 	metrics  *metrics
+	answers  *semaphore.Weighted
+	g        *group.Group
 	draining atomic.Bool
 	closed   atomic.Bool
 	// freshAt is when the catalogue was last known to be the newest.
 	freshAt atomic.Int64
 }
 
-// New returns a front.
+// New returns a front. Close stops what it does by itself.
 func New(o Options) *Front {
-	f := &Front{o: o, now: clock.Since(), metrics: newMetrics()}
+	if o.AnswerBytes == 0 {
+		o.AnswerBytes = DefaultAnswerBytes
+	}
+	f := &Front{
+		o: o, now: clock.Since(), metrics: newMetrics(), answers: semaphore.NewWeighted(o.AnswerBytes),
+		g: group.New(context.Background()),
+	}
 	f.tables.init(o, f.now)
 	f.budgets = budgets{o: o.Budget, m: map[model.ServiceID]*limit.Ratio{}}
+	f.g.Every(sweepEvery, func(context.Context) { f.tables.sweep(time.Now()) })
 	return f
 }
 
+// Close stops what the front does by itself and closes its idle connections.
+func (f *Front) Close() error {
+	err := f.g.Close()
+	f.tables.close()
+	return err
+}
+
 // Drain makes callers close their connections after the next answer.
 func (f *Front) Drain() { f.draining.Store(true) }
 
@@ -122,6 +151,7 @@
 	f.metrics.inFlight.Add(1)
 	defer f.metrics.inFlight.Add(-1)
 	q := f.newRequest(r)
+	defer q.hold.release()
 	a := f.handle(q)
 	f.finish(w, q, a)
 }
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -24,6 +24,8 @@
 	key       place.Key
 	// keyed says that the target works faster on an object that it knows.
 	keyed bool
+	// hold is the memory of the request's answers.
+	hold *holding
 	// spill says that the target is not the object's first.
 	spill bool
 }
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -130,6 +130,12 @@
 		"reason", r.reason, "status", r.status, "sent", q.p.sent, "leftMillis", q.p.left.Milliseconds())
 }
 
+// logTarget tells what a target said of itself.
+func (f *Front) logTarget(j *job, t *target, r result, news string) {
+	level.Info(f.o.Log).Log("msg", "target "+news, "target", t.id, "by", "its answer", "request", j.id, "status", r.status,
+		"pauseMillis", r.pause.Milliseconds())
+}
+
 // logAnswer tells how a request ended and what decided it.
 func (f *Front) logAnswer(q *request, a answer, took time.Duration) {
 	fresh := f.o.World.Fresh()
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -52,6 +52,7 @@
 	asked   bool
 	version model.Version
 	p       progress
+	hold    holding
 	// failure is a target's answer that another send was to better.
 	failure *answer
 	// waited is the time in queues; target, outcome and reason are of the last send.
@@ -73,7 +74,7 @@
 }
 
 func (f *Front) newRequest(r *http.Request) *request {
-	return &request{r: r, id: r.Header.Get(f.o.Dialect.RequestID), object: r.Header.Get(f.o.Dialect.Object), start: f.now()}
+	return &request{r: r, id: r.Header.Get(f.o.Dialect.RequestID), object: r.Header.Get(f.o.Dialect.Object), start: f.now(), hold: holding{all: f.answers}}
 }
 
 // own returns an answer of the front itself.
@@ -161,13 +162,19 @@
 	return answer{}, true
 }
 
+// unit returns a number from 0 to 1 that is always the same for a name.
+func unit(name string) float64 {
+	const steps, spare = 1 << 53, 11
+	return float64(place.KeyOf(name)>>spare) / steps
+}
+
 // pick chooses a part of a split by weight; the same attempt always gets the same.
 func pick(s []model.SplitPart, id string) model.ServiceID {
 	var sum float64
 	for _, p := range s {
 		sum += p.Weight
 	}
-	x := float64(place.KeyOf(id)>>11) / (1 << 53) * sum
+	x := unit(id) * sum
 	for _, p := range s {
 		if x < p.Weight {
 			return p.Service
@@ -183,7 +190,7 @@
 	for {
 		t, spill, ok := f.choose(q, c, tried)
 		if !ok {
-			return f.withoutTarget(q)
+			return f.withoutTarget(q, c)
 		}
 		tried[t.id] = true
 		q.p.tries++
@@ -191,7 +198,7 @@
 		if r.outcome != unreached && r.outcome != refused {
 			q.p.sent++
 		}
-		if r.outcome == refused {
+		if r.outcome == refused && !r.moved {
 			q.p.refusals++
 		}
 		if r.outcome == refused || r.outcome == notRun {
@@ -235,11 +242,33 @@
 }
 
 // withoutTarget answers a request for which no further target can be used.
-func (f *Front) withoutTarget(q *request) answer {
+func (f *Front) withoutTarget(q *request, c *model.Catalogue) answer {
 	if q.p.mayHaveRun {
 		return q.lost("no further target: " + q.reason)
 	}
-	return q.refusal("no target can be used: "+q.reason, q.comeBack())
+	in := q.comeBack()
+	if p := f.shortestPause(q, c); p > in {
+		// Callers that come back at the same moment would be the next wave.
+		in = p + time.Duration(float64(comeBack)*unit(q.id))
+	}
+	return q.refusal("no target can be used: "+q.reason, in)
+}
+
+// shortestPause returns how long all targets of a request still want nothing, or 0
+// where one does not say so.
+func (f *Front) shortestPause(q *request, c *model.Catalogue) time.Duration {
+	now, shortest, paused := f.now(), longestPause, false
+	f.tables.read(c, q.service, func(r *roster) {
+		for _, t := range r.list {
+			if p := t.pausedFor(now); p > 0 && atHome(q.route, t.region) {
+				shortest, paused = min(shortest, p), true
+			}
+		}
+	})
+	if !paused {
+		return 0
+	}
+	return shortest
 }
 
 // comeBack is when a refused caller may try again: when the shortest of the
@@ -309,7 +338,7 @@
 	r := f.dispatch(q.r.Context(), c, &job{
 		method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.id, header: q.r.Header, body: q.body,
 		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.route.Priority,
-		objective: q.route.ObjectiveMillis.Duration(), until: q.until, key: q.key, keyed: q.keyed(), spill: spill,
+		objective: q.route.ObjectiveMillis.Duration(), until: q.until, key: q.key, keyed: q.keyed(), hold: &q.hold, spill: spill,
 	}, t)
 	if q.r.Context().Err() != nil && r.outcome != answered {
 		return result{outcome: left, reason: "the caller has gone"}
--- a/internal/front/tables.go
+++ b/internal/front/tables.go
@@ -172,6 +172,23 @@
 	return old
 }
 
+// sweep closes idle connections that are of no use any more.
+func (t *tables) sweep(now time.Time) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, x := range t.all {
+		x.conns.sweep(now)
+	}
+}
+
+func (t *tables) close() {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, x := range t.all {
+		x.conns.close()
+	}
+}
+
 // counts returns how many targets are known and how many may be used.
 func (t *tables) counts() (known, usable int) {
 	t.mu.RLock()
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -48,13 +48,23 @@
 	coldUntil time.Duration
 	// misplaced says that another target answered at the address.
 	misplaced bool
+	// leftAt is when the target told this VM that it leaves, or 0. A new start of the
+	// target is another one.
+	leftAt time.Duration
+	// pausedAt and pausedUntil are those of the last pause that the target asked for.
+	pausedAt, pausedUntil time.Duration
+	// ramp bounds the requests to a target that had paused; 0 means no bound.
+	ramp int
 }
 
 // usable tells whether new requests may go to the target.
 func (t *target) usable(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.record.State != model.TargetReady || t.misplaced || now < t.coldUntil || now < t.restUntil {
+	if t.record.State != model.TargetReady || t.misplaced || t.leftAt != 0 {
+		return false
+	}
+	if now < max(t.coldUntil, t.restUntil, t.pausedUntil) || t.ramp > 0 && t.inFlight >= t.ramp {
 		return false
 	}
 	// After a rest one request at a time finds out whether the target is back.
@@ -93,8 +103,9 @@
 	t.inFlight++
 }
 
-// ended notes how a send to the target ended.
-func (t *target) ended(r result, now time.Duration) {
+// ended notes how a send to the target ended, and returns what the target told of
+// itself that is new.
+func (t *target) ended(r result, now time.Duration) (news string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
@@ -103,6 +114,44 @@
 		t.heardAt = now
 	}
 	t.judge(r, now)
+	if news = t.heed(r, now); news != "" {
+		t.queue.release()
+	}
+	return news
+}
+
+const (
+	newsLeaves = "leaves"
+	newsPauses = "pauses"
+)
+
+// heed takes the target's own word on whether it wants requests; the caller holds
+// the lock.
+func (t *target) heed(r result, now time.Duration) string {
+	switch {
+	case r.leaving && t.leftAt == 0:
+		t.leftAt = max(1, now)
+		return newsLeaves
+	case r.pause > 0:
+		t.pausedAt, t.pausedUntil, t.ramp = now, max(t.pausedUntil, now+r.pause), 1
+		return newsPauses
+	case t.ramp > 0 && r.outcome == answered && !r.failed():
+		t.ramp++
+		if t.ramp > t.record.Slots {
+			t.ramp = 0
+		}
+	}
+	return ""
+}
+
+// pausedFor returns how long the target still wants nothing, 0 where it does not say so.
+func (t *target) pausedFor(now time.Duration) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leftAt != 0 || t.record.State != model.TargetReady {
+		return 0
+	}
+	return max(0, t.pausedUntil-now)
 }
 
 // judge notes whether a send speaks for or against the target; the caller holds the lock.
--- /dev/null
+++ b/internal/front/trouble_test.go
@@ -0,0 +1,450 @@
+package front
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"golang.org/x/sync/semaphore"
+	"gotest.tools/v3/assert"
+)
+
+// newRaw is a target that does on each connection what the function says, once for
+// each request, until it returns false.
+func newRaw(t *testing.T, serve func(net.Conn, *http.Request) bool) *standIn {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &standIn{t: t, lis: lis, closed: make(chan struct{}, 256)}
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					s.mu.Lock()
+					s.seen = append(s.seen, r)
+					s.mu.Unlock()
+					if !serve(c, r) {
+						select {
+						case s.closed <- struct{}{}:
+						default:
+						}
+						return
+					}
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { lis.Close() })
+	return s
+}
+
+// say writes a line of a script.
+func say(c net.Conn, r *http.Request, line string) bool {
+	_, err := io.WriteString(c, strings.ReplaceAll(line, "ID", r.Header.Get(Native.RequestID)))
+	return err == nil
+}
+
+// askAs sends a request with an id of its own.
+func askAs(f http.Handler, id, path string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("in"))
+	r.Host = "h.example"
+	r.Header.Set(Native.RequestID, id)
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, r)
+	return w
+}
+
+// A target that says in an answer that it leaves gets nothing new from this VM,
+// and the answer is delivered. What belongs to another request, to another target
+// or cannot be read is no such word.
+func TestTargetLeaves(t *testing.T) {
+	leaving := func(v string) string { return strings.Replace(whole, "\r\n", "\r\nEel-Leaving: "+v+"\r\n", 1) }
+	tests := []struct {
+		name   string
+		script string
+		status int
+		leaves bool
+	}{
+		{"with an answer", leaving("1"), 200, true},
+		{"with a refusal", strings.Replace(shed, "\r\n", "\r\nEel-Leaving: 1\r\n", 1), 503, true},
+		{"with a failure", strings.Replace(broken, "\r\n", "\r\nEel-Leaving: 1\r\n", 1), 500, true},
+		{"another value", leaving("soon"), 200, false},
+		{"an empty value", leaving(""), 200, false},
+		{"with the answer to another request", strings.Replace(strayed, "\r\n", "\r\nEel-Leaving: 1\r\n", 1), 200, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStandIn(t, tt.script)
+			f := newFront(worldOf(t, s))
+			w := askAs(f, "id-1", "/once/x")
+			assert.Equal(t, w.Code, tt.status)
+			if tt.status == 200 {
+				assert.Equal(t, w.Body.String(), "body")
+			}
+			before := s.requests()
+			for i := range 3 {
+				askAs(f, fmt.Sprintf("later-%d", i), "/once/x")
+			}
+			assert.Equal(t, s.requests() == before, tt.leaves)
+		})
+	}
+}
+
+// A 421 says that another target has the address. What it says of itself is not
+// said of the target that was asked for.
+func TestWordOfAnotherTarget(t *testing.T) {
+	s := newStandIn(t, strings.Replace(wrong, "\r\n", "\r\nEel-Leaving: 1\r\nRetry-After: 60\r\n", 1))
+	w := worldOf(t, s)
+	f := newFront(w)
+	askAs(f, "id-1", "/once/x")
+	x := f.tables.all["t0"]
+	assert.Assert(t, x.misplaced)
+	assert.Assert(t, x.leftAt == 0 && x.pausedUntil == 0)
+}
+
+// A target that leaves may start again under its name, and is used then.
+func TestLeftTargetStartsAgain(t *testing.T) {
+	s := newStandIn(t, strings.Replace(whole, "\r\n", "\r\nEel-Leaving: 1\r\n", 1), whole)
+	w := worldOf(t, s)
+	f := newFront(w)
+	assert.Equal(t, askAs(f, "id-1", "/once/x").Code, 200)
+	assert.Equal(t, askAs(f, "id-2", "/once/x").Code, 503)
+	c, err := w.c.With(2, []model.Object{object(t, model.ObjectTarget, "t0", model.Target{
+		Service: "s", FailureDomain: "a-1", Addr: s.lis.Addr().String(), Slots: 3, State: model.TargetReady, Incarnation: 2,
+	})}, nil)
+	assert.NilError(t, err)
+	w.c = c
+	assert.Equal(t, askAs(f, "id-3", "/once/x").Code, 200)
+}
+
+// Requests that wait for a target which says that it leaves turn to another at once.
+func TestQueueOfALeavingTargetMovesOn(t *testing.T) {
+	release := make(chan struct{})
+	leaves := newRaw(t, func(c net.Conn, r *http.Request) bool {
+		<-release
+		return say(c, r, strings.Replace(whole, "\r\n", "\r\nEel-Leaving: 1\r\n", 1))
+	})
+	w := worldOf(t, leaves)
+	f := newFront(w)
+	var g sync.WaitGroup
+	var ok atomic.Int64
+	const requests = 6
+	for i := range requests {
+		g.Go(func() {
+			if askAs(f, fmt.Sprintf("id-%d", i), "/once/x").Code == 200 {
+				ok.Add(1)
+			}
+		})
+	}
+	for leaves.requests() < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	stays := newStandIn(t, whole)
+	c, err := w.c.With(2, []model.Object{object(t, model.ObjectTarget, "t1", model.Target{
+		Service: "s", FailureDomain: "a-1", Addr: stays.lis.Addr().String(), Slots: 3, State: model.TargetReady, Incarnation: 1,
+	})}, nil)
+	assert.NilError(t, err)
+	f.tables.update(c)
+	close(release)
+	g.Wait()
+	assert.Equal(t, leaves.requests(), 3)
+	assert.Equal(t, stays.requests(), requests-3)
+	assert.Equal(t, ok.Load(), int64(requests))
+}
+
+func TestPauseOf(t *testing.T) {
+	tests := []struct {
+		name, value string
+		status      int
+		want        time.Duration
+	}{
+		{"whole seconds", "2", 503, 2 * time.Second},
+		{"a fraction", "0.25", 503, 250 * time.Millisecond},
+		{"spaces", " 1.5 ", 503, 1500 * time.Millisecond},
+		{"absent", "", 503, 0},
+		{"zero", "0", 503, 0},
+		{"negative", "-3", 503, 0},
+		{"hours", "86400", 503, longestPause},
+		{"more than a number holds", "1e400", 503, 0},
+		{"infinite", "Inf", 503, longestPause},
+		{"no number", "NaN", 503, 0},
+		{"a date", "Fri, 04 Dec 2026 09:00:00 GMT", 503, 0},
+		{"another status", "2", 429, 0},
+		{"a success", "2", 200, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			h := http.Header{}
+			if tt.value != "" {
+				h.Set(retryAfter, tt.value)
+			}
+			assert.Equal(t, pauseOf(tt.status, h), tt.want)
+		})
+	}
+}
+
+// Load pattern: a target turns requests away and says for how long. It gets nothing
+// before, others serve meanwhile, and afterwards it is let back in step by step.
+func TestTargetPauses(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	busy := newStandIn(t, strings.Replace(shed, "\r\n", "\r\nRetry-After: 0.4\r\n", 1), whole)
+	other := newStandIn(t, whole)
+	f := newFront(worldOf(t, busy, other))
+	from := time.Now()
+	served := 0
+	for i := 0; time.Since(from) < pause-50*time.Millisecond; i++ {
+		w := askAs(f, fmt.Sprintf("id-%d", i), "/once/x")
+		assert.Equal(t, w.Code, 200, "a caller was told of the pause of one target: %s", w.Body)
+		served++
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, busy.requests(), 1)
+	time.Sleep(2 * (pause - time.Since(from)))
+	for i := 0; busy.requests() < 3 && i < 1000; i++ {
+		askAs(f, fmt.Sprintf("again-%d", i), "/once/x")
+	}
+	assert.Assert(t, busy.requests() >= 3, "the target is not used again")
+}
+
+// After a pause one request goes first, and one more with each that is answered.
+func TestPausedTargetIsLetBackInSteps(t *testing.T) {
+	x := &target{record: model.Target{State: model.TargetReady, Slots: 3}, queue: newQueue(3)}
+	x.heed(result{outcome: notRun, pause: time.Second}, 0)
+	assert.Assert(t, !x.usable(999*time.Millisecond))
+	now := 1001 * time.Millisecond
+	for allowed := 1; allowed <= 3; allowed++ {
+		for range allowed {
+			assert.Assert(t, x.usable(now), "%d allowed", allowed)
+			x.began()
+		}
+		assert.Assert(t, !x.usable(now), "more than %d allowed", allowed)
+		for range allowed {
+			x.inFlight--
+		}
+		x.heed(result{outcome: answered, status: 200}, now)
+	}
+	assert.Equal(t, x.ramp, 0)
+	x.heed(result{outcome: notRun, pause: time.Second}, now)
+	assert.Equal(t, x.ramp, 1, "a second pause begins with one again")
+}
+
+// Load pattern: all targets pause at the same time. Callers are refused at once and
+// told when the first of them takes requests again, not all the same moment.
+func TestAllTargetsPause(t *testing.T) {
+	line := strings.Replace(shed, "\r\n", "\r\nRetry-After: 3\r\n", 1)
+	f := newFront(worldOf(t, newStandIn(t, line), newStandIn(t, line)))
+	askAs(f, "id-1", "/once/x")
+	told := map[string]bool{}
+	for i := range 20 {
+		from := time.Now()
+		w := askAs(f, fmt.Sprintf("later-%d", i), "/once/x")
+		assert.Equal(t, w.Code, 503)
+		assert.Assert(t, time.Since(from) < 200*time.Millisecond, "held back")
+		var s float64
+		_, err := fmt.Sscan(w.Header().Get("Retry-After"), &s)
+		assert.NilError(t, err)
+		assert.Assert(t, s > 2.5 && s < 3.5, "come back in %g s", s)
+		told[fmt.Sprintf("%.1f", s)] = true
+	}
+	assert.Assert(t, len(told) > 1, "all come back at the same moment")
+}
+
+// A refusal without an id comes twice, the second time late, on a connection that is
+// in use again: it must not be taken for the answer to the next request, which runs.
+func TestLateSecondRefusal(t *testing.T) {
+	var sent atomic.Int64
+	ran := make(chan string, 16)
+	s := newRaw(t, func(c net.Conn, r *http.Request) bool {
+		if sent.Add(1) == 1 {
+			if !say(c, r, shed) {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+			return say(c, r, shed)
+		}
+		ran <- r.Header.Get(Native.RequestID)
+		time.Sleep(100 * time.Millisecond)
+		return say(c, r, whole)
+	})
+	f := newFront(worldOf(t, s))
+	assert.Equal(t, askAs(f, "id-1", "/once/x").Code, 503)
+	w := askAs(f, "id-2", "/once/x")
+	assert.Equal(t, w.Code, 200, w.Body.String())
+	assert.Equal(t, w.Header().Get(Native.RequestID), "id-2")
+	assert.Equal(t, <-ran, "id-2")
+}
+
+// endless writes bytes until the other side closes.
+func endless(c net.Conn, start, again string, pause time.Duration) bool {
+	if _, err := io.WriteString(c, start); err != nil {
+		return false
+	}
+	for {
+		if _, err := io.WriteString(c, again); err != nil {
+			return false
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Targets in trouble send bytes that are no answer and do not end. Callers get a
+// true failure in their time, the connections are closed, the memory stays bounded,
+// and a sound target's answers still come.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		okHead = "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\n"
+		kb     = 1 << 10
+		troubled,
+		perTarget = 8, 4
+		// A VM of 184 MB, with what the daemon gives the collector and large answers.
+		vmBytes     = 184 << 20
+		answerBytes = vmBytes / 8
+		deadline    = 600 * time.Millisecond
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(vmBytes * 3 / 4))
+	junk := strings.Repeat("x", 16*kb)
+	tests := []struct {
+		name  string
+		start string
+		again string
+		pause time.Duration
+		// status is what a caller gets of such a target.
+		status int
+		// later says that a connection which was sound at first may break under a
+		// later request, whose caller is told that nothing is known of it.
+		later bool
+	}{
+		{"no status line", "", junk, 0, 502, false},
+		{"a header line", okHead + "X-Long: ", junk, 0, 502, false},
+		{"many header lines", okHead, strings.Repeat("X-More: y\r\n", kb), 0, 502, false},
+		{"interim answers", "", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100), 0, 502, false},
+		{"a body with a length", okHead + "Content-Length: 99999999999\r\n\r\n", junk, 0, 502, false},
+		{"a body with a length that would do", okHead + "Content-Length: 60000000\r\n\r\n", junk, 0, 502, false},
+		{"a body without a length", okHead + "\r\n", junk, 0, 502, false},
+		{"chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + junk + "\r\n", 0, 502, false},
+		{"a chunk's size", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + junk, 0, 502, false},
+		{"trailers", okHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", strings.Repeat("X-More: y\r\n", kb), 0, 502, false},
+		{"answers to other requests", "", strings.Replace(whole, "ID", "other", 1), 0, 502, false},
+		{"a slow head", okHead, "X-More: y\r\n", 20 * time.Millisecond, 504, false},
+		{"a slow body", okHead + "\r\n", "y", 20 * time.Millisecond, 504, false},
+		{"after an answer", whole, junk, 0, 200, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var targets []*standIn
+			for range troubled {
+				targets = append(targets, newRaw(t, func(c net.Conn, r *http.Request) bool {
+					id := r.Header.Get(Native.RequestID)
+					return endless(c, strings.ReplaceAll(tt.start, "ID", id), tt.again, tt.pause)
+				}))
+			}
+			w := worldOf(t, targets...)
+			f := newFront(w)
+			f.answers = semaphore.NewWeighted(answerBytes)
+			defer f.Close()
+			var most atomic.Uint64
+			stop := make(chan struct{})
+			go watchHeap(&most, stop)
+			var g sync.WaitGroup
+			var asTold atomic.Int64
+			for i := range troubled * perTarget {
+				g.Go(func() {
+					from := time.Now()
+					r := httptest.NewRequest(http.MethodPost, "/once/x", strings.NewReader("in"))
+					r.Host = "h.example"
+					r.Header.Set(Native.RequestID, fmt.Sprintf("id-%d", i))
+					r.Header.Set(Native.Deadline, fmt.Sprint(deadline.Milliseconds()))
+					a := httptest.NewRecorder()
+					f.ServeHTTP(a, r)
+					// A target that fails rests, so that some requests find none.
+					assert.Check(t, a.Code == tt.status || a.Code == 503 || tt.later && a.Code == 502, "status %d: %s", a.Code, a.Body)
+					if a.Code == tt.status {
+						asTold.Add(1)
+					}
+					assert.Check(t, a.Code != 200 || a.Body.String() == "body")
+					assert.Check(t, time.Since(from) < deadline+2*lateSlack, "held for %s", time.Since(from))
+				})
+			}
+			g.Wait()
+			close(stop)
+			assert.Assert(t, asTold.Load() > 0, "no request met a target")
+			assert.Assert(t, most.Load() < vmBytes, "%d MB in use", most.Load()>>20)
+			for _, x := range targets {
+				if x.requests() == 0 {
+					continue
+				}
+				select {
+				case <-x.closed:
+				case <-time.After(4 * sweepEvery):
+					t.Fatal("a connection is still open")
+				}
+			}
+		})
+	}
+}
+
+func watchHeap(most *atomic.Uint64, stop <-chan struct{}) {
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		most.Store(max(most.Load(), m.HeapInuse+m.StackInuse))
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Large answers share a bound of memory. One that finds no room fails, and answers
+// of the usual size are not held up by it.
+func TestLargeAnswersShareTheMemory(t *testing.T) {
+	const large, all = 1 << 20, 4 << 20
+	body := strings.Repeat("y", large)
+	s := newRaw(t, func(c net.Conn, r *http.Request) bool {
+		n := len(body)
+		if strings.HasSuffix(r.URL.Path, "small") {
+			n = 4
+		}
+		return say(c, r, fmt.Sprintf("HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\nContent-Length: %d\r\n\r\n%s", n, body[:n]))
+	})
+	f := newFront(worldOf(t, s))
+	f.answers = semaphore.NewWeighted(all)
+	defer f.Close()
+	assert.Equal(t, askAs(f, "id-1", "/safe/large").Body.Len(), large)
+	// The memory of an answer is given back when it was delivered.
+	for i := range 10 {
+		assert.Equal(t, askAs(f, fmt.Sprintf("id-1-%d", i), "/safe/large").Code, 200)
+	}
+	assert.Assert(t, f.answers.TryAcquire(all))
+	assert.Equal(t, askAs(f, "id-2", "/once/large").Code, 502)
+	f.answers.Release(all)
+	time.Sleep(2 * firstRest)
+	assert.Assert(t, f.answers.TryAcquire(all))
+	assert.Equal(t, askAs(f, "id-3", "/once/small").Code, 200)
+	f.answers.Release(all)
+}
