Stop servers without cutting what they have read; serve by a fresh catalogue first

Planned stop. Cause: http.Server.Shutdown closes the listener with connections in its backlog, and connections that it holds for idle though their request has been read but not yet handed over, which a VM with a small part of a core shows. Change: internal/halt accepts the backlog first, and an idle connection is ended by its reader.

Cause: an entry that has just started counted its first catalogue as confirmed for a minute, so that one from a replica that is behind put targets back into use that had left. Change: it serves once the leader has confirmed the catalogue, or after 2 s without a leader. TestFirstCatalogueMayBeBehind.

Excluded: serving nothing without a leader. All replicas may be down for long while entries start, and callers are better served by what a replica knew.

--- a/cmd/eelentry/main.go
+++ b/cmd/eelentry/main.go
@@ -13,12 +13,12 @@
 	"expvar"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/halt"
 	"github.com/eelgrassroad/eelgrassroad/internal/logs"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
@@ -93,7 +93,7 @@
 	expvar.Publish(program, expvar.Func(func() any { return x.Metrics() }))
 	ctx, cancel := setup.Signals()
 	defer cancel()
-	h := setup.HTTPServer(x.Handler())
+	h := halt.New(setup.HTTPServer(x.Handler()))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(lis) }()
 	level.Info(l).Log("msg", "listening", "addr", lis.Addr())
@@ -108,12 +108,11 @@
 }
 
 // stop serves until no caller holds a list that names this VM, and then ends.
-func stop(o options, x *entry.Entry, h *http.Server, l log.Logger) error {
+func stop(o options, x *entry.Entry, h *halt.Server, l log.Logger) error {
 	level.Info(l).Log("msg", "leaving")
 	ctx, cancel := context.WithTimeout(context.Background(), o.StopTime)
 	defer cancel()
 	took := x.Leave(ctx)
 	level.Info(l).Log("msg", "drained", "millis", took.Milliseconds())
-	err := h.Shutdown(ctx)
-	return errors.Join(err, x.Close())
+	return errors.Join(h.Stop(ctx), x.Close())
 }
--- a/cmd/eelplat/daemon.go
+++ b/cmd/eelplat/daemon.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/halt"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/platform"
 	"github.com/go-kit/log"
@@ -41,7 +42,7 @@
 	mu       sync.Mutex
 	settings *platform.Settings
 	raw      []byte
-	servers  []*http.Server
+	servers  []*halt.Server
 	failed   chan error
 }
 
@@ -91,12 +92,13 @@
 	if err != nil {
 		return err
 	}
-	s := setup.HTTPServer(h)
-	s.IdleTimeout = idleTimeout
+	o := setup.HTTPServer(h)
+	o.IdleTimeout = idleTimeout
+	s := halt.New(o)
 	d.servers = append(d.servers, s)
 	level.Info(d.l).Log("msg", "listening", "for", name, "addr", at)
 	go func() {
-		if err := s.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(lis); err != nil {
 			select {
 			case d.failed <- err:
 			default:
@@ -182,12 +184,16 @@
 	changed(s)
 }
 
-// shutdown ends the servers; connections that are still busy when the context
-// ends are closed.
+// shutdown ends the servers together; connections that are still busy when the
+// context ends are closed.
 func (d *daemon) shutdown(ctx context.Context) {
+	var g sync.WaitGroup
 	for _, s := range d.servers {
-		if err := s.Shutdown(ctx); err != nil {
-			level.Warn(d.l).Log("msg", "server closed with requests in progress", "err", errors.Join(err, s.Close()))
-		}
+		g.Go(func() {
+			if err := s.Stop(ctx); err != nil {
+				level.Warn(d.l).Log("msg", "server closed with requests in progress", "err", err)
+			}
+		})
 	}
+	g.Wait()
 }
--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -22,6 +22,9 @@
 	// confirms. Times bounds hold only for VMs that reach the replicas, so that
 	// serving goes before refusing.
 	staleFor = time.Minute
+	// firstFresh covers an election: without a leader an entry that has just started
+	// serves by what a replica told it, but not sooner.
+	firstFresh = 2 * time.Second
 	// ratioPart is the part of the retry ratio that is used, since the windows of an
 	// observer begin at any time.
 	ratioPart = 0.9
@@ -44,7 +47,7 @@
 	}
 	f := front.New(front.Options{
 		Domain: s.Domain, World: x, Dialect: platform.Dialect, Log: d.l, Dial: d.dial,
-		StaleFor: staleFor, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
+		StaleFor: staleFor, FirstFresh: firstFresh, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
 		Budget: front.BudgetOptions{Ratio: s.RetryRatio * ratioPart, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
 	d.serveMetrics(func() any { return entryMetrics{x.Metrics(), f.Metrics()} })
--- a/cmd/eelstate/main.go
+++ b/cmd/eelstate/main.go
@@ -14,13 +14,13 @@
 	"expvar"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/halt"
 	"github.com/eelgrassroad/eelgrassroad/internal/logs"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
@@ -136,7 +136,7 @@
 func serve(n *node.Node, s *server.Server, lis net.Listener, l log.Logger) error {
 	ctx, cancel := setup.Signals()
 	defer cancel()
-	h := setup.HTTPServer(s.Handler())
+	h := halt.New(setup.HTTPServer(s.Handler()))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(lis) }()
 	level.Info(l).Log("msg", "listening", "addr", lis.Addr())
@@ -151,7 +151,7 @@
 }
 
 // stop hands leadership over, finishes what is in progress and closes the replica.
-func stop(n *node.Node, h *http.Server, l log.Logger) error {
+func stop(n *node.Node, h *halt.Server, l log.Logger) error {
 	level.Info(l).Log("msg", "stopping")
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
@@ -161,9 +161,5 @@
 		}
 		time.Sleep(handOverTime)
 	}
-	err := n.Close()
-	if e := h.Shutdown(ctx); e != nil {
-		err = errors.Join(err, h.Close())
-	}
-	return err
+	return errors.Join(n.Close(), h.Stop(ctx))
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -57,6 +57,10 @@
 	// StaleFor is how long requests are served by a catalogue that may have been
 	// replaced; 0 means forever.
 	StaleFor time.Duration
+	// FirstFresh is how long after its start a front waits to hear that its catalogue
+	// is the newest before it serves by one that may not be: what it gets first may
+	// come from a replica that is behind.
+	FirstFresh time.Duration
 	// BeatEvery is the time between two announcements of a target.
 	BeatEvery time.Duration
 	// AnswerBytes bounds the large answers that are held at a time, all together;
@@ -140,7 +144,11 @@
 		f.freshAt.Store(int64(now))
 		return true
 	}
-	return f.o.StaleFor == 0 || now-time.Duration(f.freshAt.Load()) < f.o.StaleFor
+	at := time.Duration(f.freshAt.Load())
+	if at == 0 && now < f.o.FirstFresh {
+		return false
+	}
+	return f.o.StaleFor == 0 || now-at < f.o.StaleFor
 }
 
 // ServeHTTP answers one request of a caller.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -342,3 +342,38 @@
 		assert.Assert(t, float64(repeats) <= 0.2*float64(each*n)+burst, "%d repeats of %d VMs", repeats, n)
 	}
 }
+
+// A front that has just started does not serve by a catalogue that may be behind,
+// where targets may be in use again that had left, until it hears that it is the
+// newest; it does where nobody can say so for a while.
+func TestFirstCatalogueMayBeBehind(t *testing.T) {
+	const firstFresh = 300 * time.Millisecond
+	tests := []struct {
+		name string
+		// freshAt is when the catalogue is known to be the newest, 0 for never.
+		freshAt, askedAt time.Duration
+		status           int
+	}{
+		{"not known yet", 0, 0, 503},
+		{"known", 20 * time.Millisecond, 40 * time.Millisecond, 200},
+		{"nobody says so", 0, firstFresh + 20*time.Millisecond, 200},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newStandIn(t, whole)
+			w := worldOf(t, s)
+			w.fresh = false
+			f := newFront(w)
+			f.o.FirstFresh = firstFresh
+			if tt.freshAt > 0 {
+				time.Sleep(tt.freshAt)
+				w.fresh = true
+				assert.Assert(t, f.known())
+				w.fresh = false
+			}
+			time.Sleep(tt.askedAt - tt.freshAt)
+			assert.Equal(t, ask(f, http.MethodPost, "/once/x", "in").Code, tt.status)
+			assert.Equal(t, f.Ready(), tt.status == 200)
+		})
+	}
+}
--- /dev/null
+++ b/internal/halt/halt_test.go
@@ -0,0 +1,185 @@
+package halt
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// starved is a listener whose connections hand over what they have read late, as in
+// a process that gets little processor time, and that accepts late.
+type starved struct {
+	net.Listener
+	accept, read time.Duration
+}
+
+// Accept accepts late.
+func (s starved) Accept() (net.Conn, error) {
+	c, err := s.Listener.Accept()
+	time.Sleep(s.accept)
+	return &starvedConn{Conn: c, read: s.read}, err
+}
+
+type starvedConn struct {
+	net.Conn
+	read time.Duration
+}
+
+// Read returns late what it has read.
+func (s *starvedConn) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	if n > 0 {
+		time.Sleep(s.read)
+	}
+	return n, err
+}
+
+const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+// send writes a request and tells whether its answer came.
+func send(c net.Conn) error {
+	if _, err := io.WriteString(c, request); err != nil {
+		return err
+	}
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return err
+}
+
+// A planned stop cuts no request that has been read, and nobody who had connected
+// before it, also where the process is starved.
+func TestStopCutsNothing(t *testing.T) {
+	tests := []struct {
+		name         string
+		accept, read time.Duration
+		// first are requests on each connection before the stop; then one more is sent
+		// just before it.
+		first int
+	}{
+		{"connections in the backlog", 5 * time.Millisecond, 0, 0},
+		{"a request just read on a new connection", 0, 30 * time.Millisecond, 0},
+		{"a request just read on a kept connection", 0, 30 * time.Millisecond, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(5 * time.Millisecond)
+				fmt.Fprint(w, "done")
+			})})
+			served := make(chan error, 1)
+			go func() { served <- s.Serve(starved{lis, tt.accept, tt.read}) }()
+			const callers = 20
+			var conns []net.Conn
+			for range callers {
+				c, err := net.Dial("tcp", lis.Addr().String())
+				assert.NilError(t, err)
+				defer c.Close()
+				conns = append(conns, c)
+			}
+			for range tt.first {
+				for _, c := range conns {
+					assert.NilError(t, send(c))
+				}
+			}
+			var g sync.WaitGroup
+			var cut atomic.Int64
+			for _, c := range conns {
+				g.Go(func() {
+					if err := send(c); err != nil {
+						cut.Add(1)
+					}
+				})
+			}
+			time.Sleep(10 * time.Millisecond)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			assert.NilError(t, s.Stop(ctx))
+			g.Wait()
+			assert.Equal(t, cut.Load(), int64(0), "requests were cut")
+			assert.NilError(t, <-served)
+		})
+	}
+}
+
+// Idle connections, and new ones that bring nothing, do not hold up a stop.
+func TestIdleConnectionsDoNotHoldUpAStop(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(&http.Server{Handler: http.NotFoundHandler(), IdleTimeout: time.Minute})
+	go func() { assert.Check(t, s.Serve(lis)) }()
+	kept, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	defer kept.Close()
+	assert.NilError(t, send(kept))
+	silent, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	defer silent.Close()
+	from := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Stop(ctx))
+	assert.Assert(t, time.Since(from) < 2*firstWait, "took %s", time.Since(from))
+	_, err = kept.Read(make([]byte, 1))
+	assert.Equal(t, err, io.EOF)
+}
+
+// A pipelined request that was read together with the one before is answered.
+func TestPipelinedRequest(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	entered := make(chan struct{}, 2)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		time.Sleep(50 * time.Millisecond)
+		assert.Check(t, r.Context().Err())
+	})})
+	go func() { assert.Check(t, s.Serve(lis)) }()
+	c, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, strings.Repeat(request, 2))
+	assert.NilError(t, err)
+	<-entered
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Stop(ctx))
+	b := bufio.NewReader(c)
+	for range 2 {
+		r, err := http.ReadResponse(b, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, r.Body.Close())
+	}
+}
+
+// What is still in progress when the time is up is cut, and that is said.
+func TestStopGivesUp(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })})
+	go func() { assert.Check(t, s.Serve(lis)) }()
+	c, err := net.Dial("tcp", lis.Addr().String())
+	assert.NilError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, request)
+	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	assert.ErrorContains(t, s.Stop(ctx), "1 connections were still in use")
+}
