Let the entries of a failure domain share what they see of targets

Cause: of 185 entries each meets an object twice a minute and a target a few times, so that what it knows of loads, warm objects and failures is nearly always nothing: an overloaded first target is found out by its refusals only.

Excluded: sharing with the whole region (bytes between failure domains are dear), and an owner for each target (a second VM that each request depends on; weighed before).

Change: internal/sight. Each entry tells the others of its failure domain, in one small signed datagram each 200 ms, the loads that targets told it, the objects that they handled and failures. Loads count by their age, a failure where two VMs agree. At most 40 reports to at most 24 VMs at a time. eelctl held shows which targets leave or pause by their own word, and since when.

--- a/cmd/eelplat/daemon.go
+++ b/cmd/eelplat/daemon.go
@@ -108,6 +108,15 @@
 	return nil
 }
 
+// listenPacket listens for datagrams at an address.
+func (d *daemon) listenPacket(addr string) (net.PacketConn, error) {
+	at, err := shifted(addr, d.o.ListenShift)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenPacket("udp", at)
+}
+
 // shifted returns the address some ports above another.
 func shifted(addr string, by int) (string, error) {
 	h, p, err := net.SplitHostPort(addr)
--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -24,7 +24,7 @@
 	staleFor = time.Minute
 	// firstFresh covers an election: without a leader an entry that has just started
 	// serves by what a replica told it, but not sooner.
-	firstFresh = 2 * time.Second
+	firstFresh = 1200 * time.Millisecond
 	// ratioPart is the part of the retry ratio that is used, since the windows of an
 	// observer begin at any time.
 	ratioPart = 0.9
@@ -45,7 +45,12 @@
 	if err != nil {
 		return err
 	}
+	c, err := d.listenPacket(s.Internal)
+	if err != nil {
+		return errors.Join(err, x.Close())
+	}
 	f := front.New(front.Options{
+		Sights: front.SightOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, World: x, Dialect: platform.Dialect, Log: d.l, Dial: d.dial,
 		StaleFor: staleFor, FirstFresh: firstFresh, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
 		Budget: front.BudgetOptions{Ratio: s.RetryRatio * ratioPart, Burst: s.RetryBurst, Window: s.RetryWindow},
--- a/internal/desk/desk.go
+++ b/internal/desk/desk.go
@@ -114,6 +114,9 @@
 // Knows tells whether the target has handled an object.
 func (d *Desk) Knows(k place.Key) bool { return d.warm.Knows(k) }
 
+// Note tells that the target has handled an object for another VM.
+func (d *Desk) Note(k place.Key) { d.warm.Note(k) }
+
 // Admit takes a request into the queue, or returns after which wait it would
 // have started and why it may not.
 func (d *Desk) Admit(a Ask, now time.Duration) (*Ticket, time.Duration, string) {
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -24,6 +24,17 @@
 	return x.rank(c, home, "")
 }
 
+// Neighbours returns the addresses of the other entries of this failure domain that stay.
+func (x *Entry) Neighbours() []string {
+	var out []string
+	for _, r := range x.directory.reports() {
+		if r.VM.FailureDomain == string(x.o.Domain) && r.VM.Id != string(x.o.ID) && !r.VM.Leaving {
+			out = append(out, r.VM.Addr)
+		}
+	}
+	return out
+}
+
 // Depart tells the leader that the entry leaves, so that callers are no longer sent here.
 func (x *Entry) Depart() {
 	x.leaving.Store(true)
--- a/internal/front/decide.go
+++ b/internal/front/decide.go
@@ -64,6 +64,9 @@
 	return r.outcome == unreached || r.outcome == unknown && !r.reused
 }
 
+// handled tells whether the target ran the request to a good end.
+func (r result) handled() bool { return r.outcome == answered && !r.failed() }
+
 // failed tells whether the target ran the request and failed it.
 func (r result) failed() bool {
 	return r.outcome == answered && r.status >= http.StatusInternalServerError
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -97,6 +97,12 @@
 	q.desk.SetSlots(n)
 }
 
+func (q *queue) note(k place.Key) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.desk.Note(k)
+}
+
 func (q *queue) forget() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -133,7 +139,7 @@
 	from := f.now()
 	r, knew := f.exchange(ctx, j, t)
 	r.waited = from - now
-	handled := r.outcome == answered && !r.failed()
+	handled := r.handled()
 	if handled {
 		w.Note(knew, f.now()-from)
 	}
@@ -177,9 +183,10 @@
 		r.outcome, r.reason = late, "no answer before the deadline"
 	}
 	took := f.now() - from
-	if r.outcome == answered && !r.failed() && j.keyed {
+	if r.handled() && j.keyed {
 		t.warm.Note(j.key)
 	}
+	f.tell(j, t, r)
 	if what := t.ended(r, f.now()); what != "" {
 		f.logTarget(j, t, r, what)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -19,14 +19,18 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/clock"
 	"github.com/eelgrassroad/eelgrassroad/internal/group"
+	"github.com/eelgrassroad/eelgrassroad/internal/guard"
 	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+	"github.com/eelgrassroad/eelgrassroad/internal/sight"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
 	"golang.org/x/sync/semaphore"
@@ -40,6 +44,8 @@
 	Fresh() bool
 	// VMs returns how many VMs serve requests, this one too, in a region or in all.
 	VMs(model.RegionID) int
+	// Neighbours returns the addresses of the other VMs of this failure domain.
+	Neighbours() []string
 }
 
 // Options are the settings of a front.
@@ -63,6 +69,9 @@
 	FirstFresh time.Duration
 	// BeatEvery is the time between two announcements of a target.
 	BeatEvery time.Duration
+	// Sights is where the VMs of the failure domain tell each other what they see of
+	// targets; without a connection they do not.
+	Sights SightOptions
 	// AnswerBytes bounds the large answers that are held at a time, all together;
 	// 0 means DefaultAnswerBytes.
 	AnswerBytes int64
@@ -74,6 +83,13 @@
 // sweepEvery is how often idle connections are looked at.
 const sweepEvery = time.Second
 
+// SightOptions are the settings of what VMs tell each other.
+type SightOptions struct {
+	Conn net.PacketConn
+	Key  *guard.Key
+	Self model.VMID
+}
+
 // BudgetOptions bound the second sends of one VM to a service.
 type BudgetOptions struct {
 	// Ratio is the most second sends for each request.
@@ -93,6 +109,7 @@
 	works    works
 	metrics  *metrics
 	answers  *semaphore.Weighted
+	sights   *sight.Share
 	g        *group.Group
 	draining atomic.Bool
 	closed   atomic.Bool
@@ -112,12 +129,20 @@
 	f.tables.init(o, f.now)
 	f.budgets = budgets{o: o.Budget, m: map[model.ServiceID]*limit.Ratio{}}
 	f.g.Every(sweepEvery, func(context.Context) { f.tables.sweep(time.Now()) })
+	if o.Sights.Conn != nil {
+		f.sights = sight.New(sight.Options{
+			Conn: o.Sights.Conn, Key: o.Sights.Key, Self: o.Sights.Self, Peers: o.World.Neighbours, Hear: f.hear, Log: o.Log,
+		})
+	}
 	return f
 }
 
 // Close stops what the front does by itself and closes its idle connections.
 func (f *Front) Close() error {
 	err := f.g.Close()
+	if f.sights != nil {
+		err = errors.Join(err, f.sights.Close())
+	}
 	f.tables.close()
 	return err
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -115,11 +115,14 @@
 	c     *model.Catalogue
 	fresh bool
 	vms   int
+	// neighbours are the addresses of other VMs.
+	neighbours []string
 }
 
 func (w *fixedWorld) Catalogue() *model.Catalogue { return w.c }
 func (w *fixedWorld) Fresh() bool                 { return w.fresh }
 func (w *fixedWorld) VMs(model.RegionID) int      { return w.vms }
+func (w *fixedWorld) Neighbours() []string        { return w.neighbours }
 
 // worldOf returns a world with one service that the stand-ins serve. Requests
 // under /once/ run at most once.
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -1,12 +1,15 @@
 package front
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/eelgrassroad/eelgrassroad/internal/sight"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log/level"
 )
@@ -97,18 +100,70 @@
 	Targets        int                       `json:"targets"`
 	UsableTargets  int                       `json:"usableTargets"`
 	CatalogueFresh bool                      `json:"catalogueFresh"`
+	// Held are targets that have told this VM that they want nothing, the first ones
+	// by name.
+	Held []HeldTarget `json:"held"`
+	// Sights are the datagrams between the VMs of the failure domain.
+	Sights sight.Counts `json:"sights"`
+}
+
+// maxHeld bounds the targets that metrics list.
+const maxHeld = 64
+
+// HeldTarget is a target that wants nothing from this VM, by its own word.
+type HeldTarget struct {
+	ID model.TargetID `json:"id"`
+	// Why is "leaves" or "pauses".
+	Why string `json:"why"`
+	// SinceMillis is how long ago the target said so.
+	SinceMillis int64 `json:"sinceMillis"`
+	// ForMillis is how much longer a pause lasts.
+	ForMillis int64 `json:"forMillis,omitempty"`
+}
+
+// held returns the targets that want nothing from this VM.
+func (t *tables) held() []HeldTarget {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	now := t.now()
+	var out []HeldTarget
+	for _, x := range t.all {
+		if h, ok := x.held(now); ok {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b HeldTarget) int { return cmp.Compare(a.ID, b.ID) })
+	return out[:min(len(out), maxHeld)]
+}
+
+func (t *target) held(now time.Duration) (HeldTarget, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.leftAt != 0:
+		return HeldTarget{ID: t.id, Why: newsLeaves, SinceMillis: (now - t.leftAt).Milliseconds()}, true
+	case now < t.pausedUntil:
+		return HeldTarget{
+			ID: t.id, Why: newsPauses, SinceMillis: (now - t.pausedAt).Milliseconds(), ForMillis: (t.pausedUntil - now).Milliseconds(),
+		}, true
+	}
+	return HeldTarget{}, false
 }
 
 // Metrics returns what the front counted.
 func (f *Front) Metrics() Metrics {
 	known, usable := f.tables.counts()
+	held := f.tables.held()
 	m := f.metrics
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := Metrics{
 		InFlight: m.inFlight.Load(), Answers: clone(m.answers), Own: clone(m.refusals), Sends: clone(m.sends),
 		Routes: map[model.RouteID]Latency{}, TargetLatency: latencyOf(m.targets),
-		Targets: known, UsableTargets: usable, CatalogueFresh: f.o.World.Fresh(),
+		Targets: known, UsableTargets: usable, CatalogueFresh: f.o.World.Fresh(), Held: held,
+	}
+	if f.sights != nil {
+		out.Sights = f.sights.Counts()
 	}
 	for r, h := range m.latency {
 		out.Routes[r] = latencyOf(h)
--- /dev/null
+++ b/internal/front/sights_test.go
@@ -0,0 +1,123 @@
+package front
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/internal/place"
+	"github.com/eelgrassroad/eelgrassroad/internal/sight"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+func seenTarget() *target {
+	return &target{record: model.Target{State: model.TargetReady, Slots: 3}, queue: newQueue(3)}
+}
+
+// What another VM saw counts by its age, and older news never replaces newer.
+func TestHearLoad(t *testing.T) {
+	const now = 10 * time.Second
+	tests := []struct {
+		name  string
+		hear  []sight.Report
+		own   int
+		least float64
+		most  float64
+	}{
+		{"fresh", []sight.Report{{Loaded: true, Load: 6}}, 0, 6, 6},
+		{"with own requests in it", []sight.Report{{Loaded: true, Load: 6}}, 2, 6, 6},
+		{"half its life old", []sight.Report{{Loaded: true, Load: 6, Age: loadLife / 2}}, 0, 2.9, 3.1},
+		{"too old", []sight.Report{{Loaded: true, Load: 6, Age: 2 * loadLife}}, 0, 0, 0},
+		{"older after newer", []sight.Report{{Loaded: true, Load: 1}, {Loaded: true, Load: 6, Age: time.Millisecond}}, 0, 1, 1},
+		{"no load told", []sight.Report{{Handled: true, Object: 1}}, 0, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := seenTarget()
+			x.inFlight = tt.own
+			for _, r := range tt.hear {
+				x.hear(1, r, now)
+			}
+			got := x.load(now)
+			assert.Assert(t, got >= tt.least && got <= tt.most, "load is %g", got)
+		})
+	}
+}
+
+// An object that a target has handled for another VM is known there.
+func TestHearHandled(t *testing.T) {
+	x := seenTarget()
+	x.hear(1, sight.Report{Handled: true, Object: 42}, time.Second)
+	assert.Assert(t, x.warm.Knows(42))
+	assert.Assert(t, x.queue.desk.Knows(42))
+	assert.Assert(t, !x.warm.Knows(43))
+}
+
+// A VM that is slow or cut off itself blames its targets; the others go by what two
+// of them agree on, within a while.
+func TestBlame(t *testing.T) {
+	type word struct {
+		by sight.VM
+		at time.Duration
+	}
+	tests := []struct {
+		name   string
+		words  []word
+		usable bool
+	}{
+		{"one VM, once", []word{{1, 0}}, true},
+		{"one VM, again and again", []word{{1, 0}, {1, 100 * time.Millisecond}, {1, 200 * time.Millisecond}}, true},
+		{"two VMs", []word{{1, 0}, {2, 100 * time.Millisecond}}, false},
+		{"two VMs, long after each other", []word{{1, 0}, {2, 2 * blameLife}}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x := seenTarget()
+			now := 10 * time.Second
+			for _, w := range tt.words {
+				now = 10*time.Second + w.at
+				x.hear(w.by, sight.Report{Failed: true}, now)
+			}
+			assert.Equal(t, x.usable(now), tt.usable)
+			assert.Assert(t, x.usable(now+firstRest), "the target rests for good")
+		})
+	}
+}
+
+// Two fronts of a failure domain: the second knows what the first has learned.
+func TestFrontsShareWhatTheySee(t *testing.T) {
+	s := newStandIn(t, "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\nEel-Load: 2,1,3\r\nContent-Length: 4\r\n\r\nbody")
+	a, b := sharing(t, s), sharing(t, s)
+	a.w.neighbours, b.w.neighbours = []string{b.addr}, []string{a.addr}
+	assert.Equal(t, askAs(a.f, "id-1", "/once/x").Code, 200)
+	var x *target
+	for i := 0; i < 100 && (x == nil || x.load(b.f.now()) == 0); i++ {
+		time.Sleep(20 * time.Millisecond)
+		b.f.tables.update(b.w.c)
+		x = b.f.tables.bySeed(place.SeedOf("t0"))
+	}
+	assert.Assert(t, x.load(b.f.now()) > 0)
+}
+
+type sharer struct {
+	f    *Front
+	w    *fixedWorld
+	addr string
+}
+
+func sharing(t *testing.T, s *standIn) sharer {
+	t.Helper()
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	w := worldOf(t, s)
+	f := New(Options{
+		Domain: "a-1", World: w, Dialect: Native, Log: log.NewNopLogger(),
+		Sights: SightOptions{Conn: c, Key: guard.NewKey("k"), Self: "vm"},
+	})
+	f.tables.update(w.c)
+	t.Cleanup(func() { assert.NilError(t, f.Close()) })
+	return sharer{f, w, c.LocalAddr().String()}
+}
--- a/internal/front/tables.go
+++ b/internal/front/tables.go
@@ -18,6 +18,7 @@
 	version  model.Version
 	built    bool
 	all      map[model.TargetID]*target
+	seeds    map[place.Seed]*target
 	services map[model.ServiceID]*roster
 	drained  map[model.FailureDomainID]bool
 }
@@ -55,6 +56,7 @@
 
 func (t *tables) init(o Options, now func() time.Duration) {
 	t.o, t.now = o, now
+	t.seeds = map[place.Seed]*target{}
 	t.all, t.services = map[model.TargetID]*target{}, map[model.ServiceID]*roster{}
 }
 
@@ -126,6 +128,7 @@
 	m, ok := c.Targets.Get(id)
 	if !ok {
 		delete(t.all, id)
+		delete(t.seeds, place.SeedOf(string(id)))
 		old.close()
 		return
 	}
@@ -134,12 +137,19 @@
 		old.close()
 	}
 	x.region = c.RegionOf(m.FailureDomain)
-	t.all[id] = x
+	t.all[id], t.seeds[x.seed] = x, x
 	if m.State == model.TargetReady && !c.Drained(m.FailureDomain, id) {
 		t.roster(m.Service).add(x, m.Slots)
 	}
 }
 
+// bySeed returns a target by the hash of its name, or nil.
+func (t *tables) bySeed(s place.Seed) *target {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.seeds[s]
+}
+
 func (t *tables) roster(s model.ServiceID) *roster {
 	r, ok := t.services[s]
 	if !ok {
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -46,6 +46,7 @@
 	failures  int
 	restUntil time.Duration
 	coldUntil time.Duration
+	blame     blame
 	// misplaced says that another target answered at the address.
 	misplaced bool
 	// leftAt is when the target told this VM that it leaves, or 0. A new start of the
@@ -135,7 +136,7 @@
 	case r.pause > 0:
 		t.pausedAt, t.pausedUntil, t.ramp = now, max(t.pausedUntil, now+r.pause), 1
 		return newsPauses
-	case t.ramp > 0 && r.outcome == answered && !r.failed():
+	case t.ramp > 0 && r.handled():
 		t.ramp++
 		if t.ramp > t.record.Slots {
 			t.ramp = 0
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -132,3 +132,23 @@
 func SameToken(token, hash string) bool {
 	return subtle.ConstantTimeCompare([]byte(HashToken(token)), []byte(hash)) == 1
 }
+
+// sealBytes is the length of the code that a sealed message begins with.
+const sealBytes = 16
+
+func (k *Key) code(b []byte) []byte {
+	h := hmac.New(sha256.New, k.secret)
+	h.Write(b)
+	return h.Sum(nil)[:sealBytes]
+}
+
+// Seal returns a message that only holders of the key can have made.
+func (k *Key) Seal(b []byte) []byte { return append(k.code(b), b...) }
+
+// Open returns what was sealed, and whether it was.
+func (k *Key) Open(b []byte) ([]byte, bool) {
+	if len(b) < sealBytes || !hmac.Equal(b[:sealBytes], k.code(b[sealBytes:])) {
+		return nil, false
+	}
+	return b[sealBytes:], true
+}
--- /dev/null
+++ b/internal/opctl/held.go
@@ -0,0 +1,94 @@
+package opctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/front"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+)
+
+const (
+	heldTimeout = 5 * time.Second
+	// maxMetricsBytes bounds the metrics of one VM.
+	maxMetricsBytes = 16 << 20
+)
+
+type heldCmd struct {
+	a    *app
+	Args struct {
+		Metrics []string `positional-arg-name:"ADDR" required:"1" description:"metrics addresses of entries, IP:PORT"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// heldAt are the targets that want nothing from one entry.
+type heldAt struct {
+	Entry string             `json:"entry"`
+	Held  []front.HeldTarget `json:"held"`
+	// Error says why the entry's metrics could not be read.
+	Error string `json:"error,omitempty"`
+}
+
+// Execute shows which targets leave or pause by their own word, and since when.
+func (c *heldCmd) Execute([]string) error {
+	for _, x := range c.Args.Metrics {
+		if err := setup.CheckAddr("ADDR", x); err != nil {
+			return fault.New("eelctl held", KindUsage, err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), heldTimeout)
+	defer cancel()
+	var list []heldAt
+	for _, x := range c.Args.Metrics {
+		h := heldAt{Entry: x}
+		m, err := metricsOf(ctx, x)
+		if err != nil {
+			h.Error = err.Error()
+		}
+		h.Held = m.Held
+		list = append(list, h)
+	}
+	return c.a.print(list, func(w io.Writer) { writeHeld(w, list) })
+}
+
+// metricsOf reads what the front of an entry has counted.
+func metricsOf(ctx context.Context, addr string) (front.Metrics, error) {
+	var x struct {
+		Program struct {
+			Front front.Metrics `json:"front"`
+		} `json:"eelplat"`
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+	if err != nil {
+		return x.Program.Front, err
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return x.Program.Front, err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		return x.Program.Front, fmt.Errorf("metrics of %s: status %d", addr, a.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(a.Body, maxMetricsBytes)).Decode(&x)
+	return x.Program.Front, err
+}
+
+func writeHeld(w io.Writer, list []heldAt) {
+	fmt.Fprintln(w, "ENTRY\tTARGET\tWHY\tSINCE\tFOR")
+	for _, h := range list {
+		if h.Error != "" {
+			fmt.Fprintf(w, "%s\t-\t%s\t\t\n", h.Entry, h.Error)
+		}
+		for _, x := range h.Held {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", h.Entry, x.ID, x.Why, millis(x.SinceMillis), millis(x.ForMillis))
+		}
+	}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -112,6 +112,7 @@
 		{"drain", "take a region, failure domain or target out of service", &drainCmd{a: a}},
 		{"undrain", "put it back into service", &undrainCmd{a: a}},
 		{"status", "show replicas, VMs, targets, links and leases", &statusCmd{a: a}},
+		{"held", "show the targets that leave or pause by their own word, as entries know them", &heldCmd{a: a}},
 		{"why", "tell from log files what became of a request and what decided it", &whyCmd{a: a}},
 	}
 	if err := add(p.Command, top); err != nil {
--- a/internal/opctl/why.go
+++ b/internal/opctl/why.go
@@ -27,7 +27,7 @@
 var beliefs = []string{
 	"starting", "stopping", "drained", "listening", "lease changed", "leader changed", "catalogue in force", "settings reloaded",
 	"bad settings, the old ones stay in force", "routing submitted", "drain submitted", "target announced", "target withdrawn",
-	"target fell silent", "log lines dropped",
+	"target fell silent", "target leaves", "target pauses", "log lines dropped",
 }
 
 type whyCmd struct {
