Rest targets that one VM could not reach at all of them; harm of leaving and pausing targets in the soak

Excluded: waiting longer for a connection. A lost packet is sent again after a second only, so that 500 ms bring no more than 250 ms.

A target that a VM could not reach rests for 2 s at all VMs of its failure domain, unless half of that VM's sends fail: then it is cut off itself. A target that serves another VM again is used at once. The soak has targets that pause, and leaving ones say so in their answers; two more promises are checked.

--- a/cmd/eelplat/daemon.go
+++ b/cmd/eelplat/daemon.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &daemon{o: o, l: l, key: guard.NewKey(o.Key), settings: s, raw: raw, failed: make(chan error, 1), dial: dialer(o, s)}, nil
+	return &daemon{o: o, l: l, key: guard.NewKey(o.Key), settings: s, raw: raw, failed: make(chan error, 1), dial: dialer(o, s, dialTimeout)}, nil
 }
 
 func (d *daemon) current() *platform.Settings {
@@ -64,8 +64,8 @@
 }
 
 // dialer makes connections whose silent other side is noticed.
-func dialer(o options, s *platform.Settings) setup.Dialer {
-	n := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+func dialer(o options, s *platform.Settings, timeout time.Duration) setup.Dialer {
+	n := &net.Dialer{Timeout: timeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveIdle, Count: 2,
 	}, Control: setup.DetectSilence(silentTimeout)}
 	if o.BindSource {
@@ -75,8 +75,11 @@
 }
 
 const (
-	// dialTimeout covers two ways between regions and one lost packet's worth of patience.
+	// dialTimeout covers two ways between regions, and a replica that has just started.
 	dialTimeout = 500 * time.Millisecond
+	// targetDialTimeout covers two ways between regions. A lost packet is sent again
+	// only after a second, so that a longer wait brings no connection.
+	targetDialTimeout = 250 * time.Millisecond
 	// silentTimeout is after how long an unacknowledged byte breaks a connection.
 	silentTimeout = 1500 * time.Millisecond
 	keepAliveIdle = 5 * time.Second
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -110,6 +110,7 @@
 	metrics  *metrics
 	answers  *semaphore.Weighted
 	sights   *sight.Share
+	credits  credits
 	g        *group.Group
 	draining atomic.Bool
 	closed   atomic.Bool
--- a/internal/front/sights.go
+++ b/internal/front/sights.go
@@ -1,16 +1,52 @@
 package front
 
 import (
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/sight"
 )
 
-// blameLife is for how long a failure that one VM saw counts when another sees one:
-// two that agree are not both slow or cut off themselves.
-const blameLife = 2 * time.Second
+const (
+	// blameLife is for how long an answer that broke off at one VM counts when another
+	// sees the same.
+	blameLife = 2 * time.Second
+	// firstUnreachedRest is how long a target rests that could not be reached: the VMs
+	// of a failure domain together meet a target once in a second or two. It doubles
+	// like other rests.
+	firstUnreachedRest = 2 * time.Second
+	// creditPart is the weight of a new report in a VM's part of failures.
+	creditPart = 0.1
+	// mostFailures is the part of failures from which a VM is not believed: more
+	// likely it is cut off itself.
+	mostFailures = 0.5
+	// maxCredits bounds the VMs whose reports are judged.
+	maxCredits = 1024
+)
+
+// credits are the parts of failures in what other VMs report.
+type credits struct {
+	mu sync.Mutex
+	m  map[sight.VM]float64
+}
 
-// blame is the last failure of a target that another VM told of.
+// note takes a report of a VM and tells whether it is believed.
+func (c *credits) note(vm sight.VM, r sight.Report) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.m == nil || len(c.m) >= maxCredits {
+		c.m = map[sight.VM]float64{}
+	}
+	x := 0.0
+	if r.Unreached || r.Failed {
+		x = 1
+	}
+	c.m[vm] += creditPart * (x - c.m[vm])
+	return c.m[vm] < mostFailures
+}
+
+// blame is the last answer that broke off at another VM.
 type blame struct {
 	by sight.VM
 	at time.Duration
@@ -21,14 +57,17 @@
 	if f.sights == nil {
 		return
 	}
-	x := sight.Report{Target: t.seed, Failed: r.faulty(), Handled: r.handled() && j.keyed, Loaded: r.loaded}
+	x := sight.Report{
+		Target: t.seed, Unreached: r.outcome == unreached, Failed: r.faulty() && r.outcome != unreached,
+		Handled: r.handled() && j.keyed, Loaded: r.loaded,
+	}
 	if x.Handled {
 		x.Object = j.key
 	}
 	if x.Loaded {
 		x.Load = r.load.Running + r.load.Waiting
 	}
-	if x.Handled || x.Loaded || x.Failed {
+	if x.Handled || x.Loaded || x.Failed || x.Unreached {
 		f.sights.Add(x)
 	}
 }
@@ -37,14 +76,15 @@
 func (f *Front) hear(vm sight.VM, reports []sight.Report) {
 	now := f.now()
 	for _, r := range reports {
+		believed := f.credits.note(vm, r)
 		if t := f.tables.bySeed(r.Target); t != nil {
-			t.hear(vm, r, now)
+			t.hear(vm, r, believed, now)
 		}
 	}
 }
 
 // hear takes what another VM saw of the target.
-func (t *target) hear(vm sight.VM, r sight.Report, now time.Duration) {
+func (t *target) hear(vm sight.VM, r sight.Report, believed bool, now time.Duration) {
 	if r.Handled {
 		t.warm.Note(r.Object)
 		t.queue.note(r.Object)
@@ -55,12 +95,17 @@
 	if r.Loaded && at > t.heardAt {
 		t.others, t.heardAt = max(0, float64(r.Load-t.inFlight)), at
 	}
-	if !r.Failed {
-		return
-	}
-	if b := t.blame; b.at > 0 && b.by != vm && now-b.at < blameLife {
-		t.restUntil = max(t.restUntil, now+firstRest)
-		t.failures = max(t.failures, 1)
+	switch {
+	case r.Handled && at > t.failedAt:
+		t.failures, t.restUntil = 0, 0
+	case r.Unreached && believed:
+		// Of the VMs that rest together some come back sooner and tell the others.
+		t.rest(firstUnreachedRest, now)
+		t.restUntil += rand.N(firstUnreachedRest)
+	case r.Failed && believed:
+		if b := t.blame; b.at > 0 && b.by != vm && now-b.at < blameLife {
+			t.rest(firstRest, now)
+		}
+		t.blame = blame{by: vm, at: max(1, at)}
 	}
-	t.blame = blame{by: vm, at: max(1, at)}
 }
--- a/internal/front/sights_test.go
+++ b/internal/front/sights_test.go
@@ -39,7 +39,7 @@
 			x := seenTarget()
 			x.inFlight = tt.own
 			for _, r := range tt.hear {
-				x.hear(1, r, now)
+				x.hear(1, r, true, now)
 			}
 			got := x.load(now)
 			assert.Assert(t, got >= tt.least && got <= tt.most, "load is %g", got)
@@ -50,43 +50,65 @@
 // An object that a target has handled for another VM is known there.
 func TestHearHandled(t *testing.T) {
 	x := seenTarget()
-	x.hear(1, sight.Report{Handled: true, Object: 42}, time.Second)
+	x.hear(1, sight.Report{Handled: true, Object: 42}, true, time.Second)
 	assert.Assert(t, x.warm.Knows(42))
 	assert.Assert(t, x.queue.desk.Knows(42))
 	assert.Assert(t, !x.warm.Knows(43))
 }
 
-// A VM that is slow or cut off itself blames its targets; the others go by what two
-// of them agree on, within a while.
+// What could not be reached rests at all VMs; an answer that broke off counts where
+// two VMs agree, within a while. A VM to which most of its targets seem gone is cut
+// off itself and not believed.
 func TestBlame(t *testing.T) {
 	type word struct {
-		by sight.VM
-		at time.Duration
+		by        sight.VM
+		at        time.Duration
+		unreached bool
 	}
+	const later = 100 * time.Millisecond
 	tests := []struct {
 		name   string
 		words  []word
+		cutOff bool
 		usable bool
 	}{
-		{"one VM, once", []word{{1, 0}}, true},
-		{"one VM, again and again", []word{{1, 0}, {1, 100 * time.Millisecond}, {1, 200 * time.Millisecond}}, true},
-		{"two VMs", []word{{1, 0}, {2, 100 * time.Millisecond}}, false},
-		{"two VMs, long after each other", []word{{1, 0}, {2, 2 * blameLife}}, true},
+		{"one VM, once", []word{{1, 0, false}}, false, true},
+		{"one VM, again and again", []word{{1, 0, false}, {1, later, false}, {1, 2 * later, false}}, false, true},
+		{"two VMs", []word{{1, 0, false}, {2, later, false}}, false, false},
+		{"two VMs, long after each other", []word{{1, 0, false}, {2, 2 * blameLife, false}}, false, true},
+		{"one VM does not reach it", []word{{1, 0, true}}, false, false},
+		{"one VM reaches nothing", []word{{1, 0, true}}, true, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			x := seenTarget()
+			f := &Front{now: func() time.Duration { return 0 }}
+			for range 20 {
+				f.credits.note(1, sight.Report{Unreached: tt.cutOff, Loaded: !tt.cutOff})
+			}
 			now := 10 * time.Second
 			for _, w := range tt.words {
 				now = 10*time.Second + w.at
-				x.hear(w.by, sight.Report{Failed: true}, now)
+				r := sight.Report{Unreached: w.unreached, Failed: !w.unreached}
+				x.hear(w.by, r, f.credits.note(w.by, r), now)
 			}
 			assert.Equal(t, x.usable(now), tt.usable)
-			assert.Assert(t, x.usable(now+firstRest), "the target rests for good")
+			assert.Assert(t, x.usable(now+2*firstUnreachedRest), "the target rests for good")
 		})
 	}
 }
 
+// A target that serves another VM again is used at once.
+func TestHeardToBeBack(t *testing.T) {
+	x := seenTarget()
+	now := 10 * time.Second
+	x.hear(1, sight.Report{Unreached: true}, true, now)
+	x.hear(2, sight.Report{Handled: true, Object: 1, Age: time.Second}, true, now)
+	assert.Assert(t, !x.usable(now), "it was served before the failure")
+	x.hear(2, sight.Report{Handled: true, Object: 1}, true, now+time.Millisecond)
+	assert.Assert(t, x.usable(now+2*time.Millisecond))
+}
+
 // Two fronts of a failure domain: the second knows what the first has learned.
 func TestFrontsShareWhatTheySee(t *testing.T) {
 	s := newStandIn(t, "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\nEel-Load: 2,1,3\r\nContent-Length: 4\r\n\r\nbody")
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -44,6 +44,7 @@
 	heardAt time.Duration
 	// failures in a row, and until when the target rests after the last.
 	failures  int
+	failedAt  time.Duration
 	restUntil time.Duration
 	coldUntil time.Duration
 	blame     blame
@@ -160,14 +161,23 @@
 	switch {
 	case r.wrongTarget:
 		t.misplaced = true
+	case r.outcome == unreached:
+		t.rest(firstUnreachedRest, now)
 	case r.faulty():
-		t.failures++
-		t.restUntil = now + min(longestRest, firstRest<<min(t.failures-1, 8))
+		t.rest(firstRest, now)
 	case r.outcome == answered || r.outcome == notRun:
 		t.failures = 0
 	}
 }
 
+// rest keeps requests from the target for a while after a failure, twice as long
+// after each further one; the caller holds the lock.
+func (t *target) rest(first, now time.Duration) {
+	t.failures++
+	t.failedAt = now
+	t.restUntil = max(t.restUntil, now+min(longestRest, first<<min(t.failures-1, 8)))
+}
+
 // coolUntil treats the target as cold until a time at least.
 func (t *target) coolUntil(at time.Duration) {
 	t.mu.Lock()
--- a/internal/sight/datagram.go
+++ b/internal/sight/datagram.go
@@ -16,6 +16,7 @@
 	flagHandled = 1 << iota
 	flagLoaded
 	flagFailed
+	flagUnreached
 )
 
 // maxLoad bounds a load that is believed.
@@ -52,6 +53,9 @@
 	if r.Failed {
 		flags |= flagFailed
 	}
+	if r.Unreached {
+		flags |= flagUnreached
+	}
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Target))
 	b = append(b, flags)
 	b = binary.AppendUvarint(b, uint64(max(0, r.Age.Milliseconds())))
@@ -128,6 +132,7 @@
 	x := Report{Target: place.Seed(r.fixed())}
 	flags := r.byte()
 	x.Handled, x.Loaded, x.Failed = flags&flagHandled != 0, flags&flagLoaded != 0, flags&flagFailed != 0
+	x.Unreached = flags&flagUnreached != 0
 	const longest = uint64(time.Hour / time.Millisecond)
 	x.Age = time.Duration(r.number(longest)) * time.Millisecond
 	if x.Loaded {
--- a/internal/sight/sight.go
+++ b/internal/sight/sight.go
@@ -50,7 +50,9 @@
 	// Load is how many requests run and wait at the target, where Loaded.
 	Load   int
 	Loaded bool
-	// Failed says that the target could not be reached or broke off.
+	// Unreached says that no connection could be made to the target.
+	Unreached bool
+	// Failed says that the target broke off.
 	Failed bool
 	// Age is how long ago that was.
 	Age time.Duration
--- a/internal/sight/sight_test.go
+++ b/internal/sight/sight_test.go
@@ -113,7 +113,7 @@
 	for range 200 {
 		d := datagram{from: VM(r.Uint64()), sequence: r.Uint64N(1 << 40)}
 		for range r.IntN(maxReports) {
-			x := Report{Target: place.Seed(r.Uint64()), Failed: r.IntN(2) == 0, Age: time.Duration(r.IntN(5000)) * time.Millisecond}
+			x := Report{Target: place.Seed(r.Uint64()), Failed: r.IntN(2) == 0, Unreached: r.IntN(2) == 0, Age: time.Duration(r.IntN(5000)) * time.Millisecond}
 			if x.Handled = r.IntN(2) == 0; x.Handled {
 				x.Object = place.Key(r.Uint64())
 			}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -36,10 +36,12 @@
 	failing
 	// shedding refuses requests.
 	shedding
+	// pausing refuses requests and says for how long it wants none.
+	pausing
 	moods
 )
 
-var moodNames = [...]string{"sound", "slow", "mute", "cutting", "doubling", "failing", "shedding"}
+var moodNames = [...]string{"sound", "slow", "mute", "cutting", "doubling", "failing", "shedding", "pausing"}
 
 // String returns the short name of the mood.
 func (m mood) String() string { return moodNames[m] }
@@ -53,8 +55,21 @@
 	queueFactor = 4
 	// serveAfter is how long a leaving target serves after the drain bound.
 	serveAfter = 1500 * time.Millisecond
+	// pauseFor is what a pausing target asks for.
+	pauseFor = 1500 * time.Millisecond
+	// pauseSlack is how long after its word requests may still be on their way, and
+	// pauseMost how many may come later.
+	pauseSlack = 500 * time.Millisecond
+	pauseMost  = 2
 )
 
+// wish is what a target asked of one entry.
+type wish struct {
+	at, until time.Duration
+	// arrivals are the requests that came all the same.
+	arrivals int
+}
+
 // target is one life of a stand-in for the users' back ends.
 type target struct {
 	t       model.Target
@@ -77,6 +92,9 @@
 	leftAt time.Duration
 	warm   map[string]bool
 	cold   []time.Duration
+	// told is when each entry was first told by an answer that the target leaves.
+	told   map[string]time.Duration
+	paused map[string]*wish
 	// emptied tells whether the target's failure domain is drained since some time.
 	emptied func(at time.Duration) bool
 }
@@ -184,8 +202,18 @@
 	}
 	entry, _, _ := net.SplitHostPort(r.RemoteAddr)
 	x.note(id, entry)
+	x.mu.Lock()
+	if x.leaving {
+		rw.Header().Set(d.Leaving, "1")
+		x.tell(entry)
+	}
+	x.mu.Unlock()
 	m := mood(x.mood.Load())
-	if m == shedding || int(x.held.Add(1)) > queueFactor*x.t.Slots {
+	if m == pausing {
+		x.ask(entry)
+		rw.Header().Set("Retry-After", strconv.FormatFloat(pauseFor.Seconds(), 'f', -1, 64))
+	}
+	if m == shedding || m == pausing || int(x.held.Add(1)) > queueFactor*x.t.Slots {
 		x.held.Add(-1)
 		rw.Header().Set(d.NotRun, "1")
 		x.answer(rw, id, http.StatusServiceUnavailable)
@@ -213,10 +241,52 @@
 	x.finish(rw, r, id, m)
 }
 
+// tell notes that an entry is told that the target leaves; the caller holds the lock.
+func (x *target) tell(entry string) {
+	if x.told == nil {
+		x.told = map[string]time.Duration{}
+	}
+	if _, ok := x.told[entry]; !ok {
+		// The answer goes out later, when the request was run.
+		x.told[entry] = x.w.now() + coldWork*slowFactor
+	}
+}
+
+// ask notes that an entry is asked for a pause.
+func (x *target) ask(entry string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.paused == nil {
+		x.paused = map[string]*wish{}
+	}
+	now := x.w.now()
+	if p := x.paused[entry]; p == nil || now > p.until {
+		x.paused[entry] = &wish{at: now, until: now + pauseFor}
+	}
+}
+
+// heeded checks whether an entry heeds what it was told by answers.
+func (x *target) heeded(id, entry string, at time.Duration) {
+	x.mu.Lock()
+	told, p := x.told[entry], x.paused[entry]
+	late := p != nil && at > p.at+pauseSlack && at < p.until
+	if late {
+		p.arrivals++
+	}
+	x.mu.Unlock()
+	if sent := x.w.sentAt(id); told > 0 && sent > 0 && x.w.calm(told, entry) {
+		x.w.check(Heeded, sent <= told+drainBound, "request %s, sent %s after %s was told that %s leaves, reached it", id, sent-told, entry, x.t.ID)
+	}
+	if late && x.w.calm(p.at, entry) {
+		x.w.check(Paused, p.arrivals <= pauseMost, "%s sent %d requests to %s, which had asked for a pause %s ago", entry, p.arrivals, x.t.ID, at-p.at)
+	}
+}
+
 // note checks what an arrival breaks by its time.
 func (x *target) note(id, entry string) {
 	at := x.w.now()
 	x.w.arrived(id)
+	x.heeded(id, entry, at)
 	host, _, _ := net.SplitHostPort(x.t.Addr)
 	x.mu.Lock()
 	left := x.leftAt
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -20,6 +20,8 @@
 	Whole    Promise = "the whole answer to its own request"
 	Routed   Promise = "run by a service of its route"
 	Drained  Promise = "a leaving target gets no new work"
+	Heeded   Promise = "an entry that was told so by a target sends it nothing new"
+	Paused   Promise = "a target that asks for a pause gets one"
 	Emptied  Promise = "a drained failure domain gets no new work"
 	InForce  Promise = "a configuration is in force in time"
 	Forward  Promise = "no process goes back to an older configuration"
@@ -165,6 +167,16 @@
 	}
 }
 
+// sentAt returns when a caller sent a request, 0 where no caller did.
+func (w *watch) sentAt(id string) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a := w.attempts[id]; a != nil {
+		return a.sentAt
+	}
+	return 0
+}
+
 // ran notes that a target began to work on a request.
 func (w *watch) ran(id string, s model.ServiceID, r run) {
 	w.mu.Lock()
