Compare an entry's first catalogue with most replicas in place of waiting

Cause: since an entry that has just started waited up to 1.2 s to hear from a leader that its catalogue is the newest.

Change: the entry asks all replicas that it knows for what is newer than its first catalogue, and serves once more than half of them had nothing newer; 1.2 s is the bound where they do not answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,6 +104,7 @@
 	back  *http.Client
 
 	leaving   atomic.Bool
+	compared  atomic.Bool
 	renewNow  chan struct{}
 	refused   chan error
 	lease     leaseHold
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -92,24 +92,43 @@
 	firstProbe = 250 * time.Millisecond
 )
 
+// compareFor is how long after the first catalogue other replicas are asked for a
+// newer one: twice the shortest time without a leader before an election.
+const compareFor = 1200 * time.Millisecond
+
 // pullFirst gets the first catalogue. After a loss of power some replicas may be
 // down for long, so that all are asked for a sign of life; the catalogue, which
 // may fill the link for a while, comes from one at a time, the first that answered.
+// The others are asked for what is newer, since that one may be behind.
 func (x *Entry) pullFirst(ctx context.Context) {
-	for failures := 0; ctx.Err() == nil && x.config.version() == 0; failures++ {
+	asked := map[string]bool{}
+	var until time.Duration
+	for failures := 0; ctx.Err() == nil; failures++ {
 		for addr := range x.state.alive(ctx, firstProbe) {
-			if x.config.version() > 0 {
+			if asked[addr] {
 				continue
 			}
 			t, cancel := context.WithTimeout(ctx, firstTimeout)
 			if err := x.pull(t, x.state.of(addr), 0); err != nil {
 				level.Debug(x.o.Log).Log("msg", "catalogue not pulled", "from", addr, "err", err)
+			} else if x.config.version() > 0 {
+				asked[addr] = true
 			}
 			cancel()
 		}
-		if x.config.version() == 0 {
-			sleep(ctx, backoff(failures))
+		if x.config.version() > 0 {
+			if until == 0 {
+				until = x.now() + compareFor
+			}
+			if x.state.most(len(asked)) {
+				x.compared.Store(true)
+			}
+			if x.compared.Load() || x.valid() || x.now() >= until {
+				level.Info(x.o.Log).Log("msg", "first catalogue", "version", x.config.version(), "replicas", len(asked), "most", x.compared.Load())
+				return
+			}
 		}
+		sleep(ctx, backoff(failures))
 	}
 }
 
--- a/internal/entry/pull_test.go
+++ b/internal/entry/pull_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
@@ -127,3 +128,62 @@
 		})
 	}
 }
+
+// versionState is a replica whose catalogue has a version.
+type versionState struct {
+	eelpb.State
+	version uint64
+}
+
+func (s versionState) Renew(context.Context, *eelpb.RenewRequest) (*eelpb.RenewReply, error) {
+	return nil, errors.New("no leader")
+}
+
+func (s versionState) Pull(ctx context.Context, q *eelpb.PullRequest) (*eelpb.PullReply, error) {
+	if q.WaitMs > 0 {
+		<-ctx.Done()
+	}
+	return &eelpb.PullReply{Version: s.version, Snapshot: q.Version == 0, Objects: []*eelpb.Object{
+		{Kind: "region", Name: "a", Owner: "o", Spec: []byte("{}"), Version: s.version},
+	}}, nil
+}
+
+// An entry starts while no replica leads, and the replica that answers first is
+// behind. Its catalogue counts once most replicas had nothing newer.
+func TestFirstCatalogueIsComparedWithMost(t *testing.T) {
+	k := guard.NewKey("k")
+	at := func(version uint64, way time.Duration) string {
+		m := http.NewServeMux()
+		m.Handle("/", k.Require(eelpb.NewStateServer(versionState{version: version})))
+		m.HandleFunc(wire.PathHealth, func(http.ResponseWriter, *http.Request) { time.Sleep(way) })
+		srv := httptest.NewServer(m)
+		t.Cleanup(srv.Close)
+		return srv.Listener.Addr().String()
+	}
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	const way = 80 * time.Millisecond
+	tests := []struct {
+		name     string
+		replicas []string
+		version  model.Version
+		compared bool
+	}{
+		{"the first is behind", []string{at(5, 0), at(9, way), at(8, 2*way)}, 9, true},
+		{"one of three does not answer", []string{at(5, 0), at(9, way), silent.Addr().String()}, 9, true},
+		{"two of three do not answer", []string{at(5, 0), silent.Addr().String(), "127.0.0.1:1"}, 5, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			x, err := New(Options{ID: "v", Addr: "127.0.0.1:1", Domain: "a-1", Replicas: tt.replicas, Key: k, Log: log.NewNopLogger(), Dial: (&net.Dialer{}).DialContext})
+			assert.NilError(t, err)
+			defer x.Close()
+			for from := time.Now(); time.Since(from) < compareFor && !x.Compared(); {
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Equal(t, x.Compared(), tt.compared)
+			assert.Equal(t, x.Catalogue().Version, tt.version)
+		})
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -81,6 +81,13 @@
 	return last
 }
 
+// most tells whether a number of replicas is more than half of those that are known.
+func (s *stateClient) most(n int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return n > len(s.replicas)/2
+}
+
 // of returns the replica at an address.
 func (s *stateClient) of(addr string) eelpb.State {
 	s.mu.Lock()
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -12,6 +12,10 @@
 // Fresh tells whether the catalogue is known to be the newest.
 func (x *Entry) Fresh() bool { return x.valid() }
 
+// Compared tells whether more than half of the known replicas had nothing newer
+// than the first catalogue.
+func (x *Entry) Compared() bool { return x.compared.Load() }
+
 // Learn adds replicas that the settings name.
 func (x *Entry) Learn(replicas []string) { x.state.learn(replicas) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -42,6 +42,8 @@
 	Catalogue() *model.Catalogue
 	// Fresh tells whether the catalogue is known to be the newest.
 	Fresh() bool
+	// Compared tells whether the catalogue was compared with those of most replicas.
+	Compared() bool
 	// VMs returns how many VMs serve requests, this one too, in a region or in all.
 	VMs(model.RegionID) int
 	// Neighbours returns the addresses of the other VMs of this failure domain.
@@ -63,9 +65,9 @@
 	// StaleFor is how long requests are served by a catalogue that may have been
 	// replaced; 0 means forever.
 	StaleFor time.Duration
-	// FirstFresh is how long after its start a front waits to hear that its catalogue
-	// is the newest before it serves by one that may not be: what it gets first may
-	// come from a replica that is behind.
+	// FirstFresh is how long after its start a front waits until its catalogue is
+	// known to be the newest, or was compared, before it serves by one that may not
+	// be: what it gets first may come from a replica that is behind.
 	FirstFresh time.Duration
 	// BeatEvery is the time between two announcements of a target.
 	BeatEvery time.Duration
@@ -171,7 +173,7 @@
 		return true
 	}
 	at := time.Duration(f.freshAt.Load())
-	if at == 0 && now < f.o.FirstFresh {
+	if at == 0 && now < f.o.FirstFresh && !f.o.World.Compared() {
 		return false
 	}
 	return f.o.StaleFor == 0 || now-at < f.o.StaleFor
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -115,6 +115,8 @@
 	c     *model.Catalogue
 	fresh bool
 	vms   int
+	// compared says that other replicas had nothing newer.
+	compared bool
 	// neighbours are the addresses of other VMs.
 	neighbours []string
 }
@@ -122,6 +124,7 @@
 func (w *fixedWorld) Catalogue() *model.Catalogue { return w.c }
 func (w *fixedWorld) Fresh() bool                 { return w.fresh }
 func (w *fixedWorld) VMs(model.RegionID) int      { return w.vms }
+func (w *fixedWorld) Compared() bool              { return w.compared }
 func (w *fixedWorld) Neighbours() []string        { return w.neighbours }
 
 // worldOf returns a world with one service that the stand-ins serve. Requests
@@ -355,17 +358,19 @@
 		name string
 		// freshAt is when the catalogue is known to be the newest, 0 for never.
 		freshAt, askedAt time.Duration
+		compared         bool
 		status           int
 	}{
-		{"not known yet", 0, 0, 503},
-		{"known", 20 * time.Millisecond, 40 * time.Millisecond, 200},
-		{"nobody says so", 0, firstFresh + 20*time.Millisecond, 200},
+		{"not known yet", 0, 0, false, 503},
+		{"known", 20 * time.Millisecond, 40 * time.Millisecond, false, 200},
+		{"other replicas have nothing newer", 0, 0, true, 200},
+		{"nobody says so", 0, firstFresh + 20*time.Millisecond, false, 200},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newStandIn(t, whole)
 			w := worldOf(t, s)
-			w.fresh = false
+			w.fresh, w.compared = false, tt.compared
 			f := newFront(w)
 			f.o.FirstFresh = firstFresh
 			if tt.freshAt > 0 {
