Bound the time in which a stop accepts who connects

Cause, found by reading: a stop waited until nobody had connected for 50 ms. Targets connect to a replica some 60 times a second on the large deployment, so that its stop took all of its time and then cut what was in progress.

Change: at most 200 ms. TestStopUnderConnections: 5.0 s before, below 1 s after.

--- a/internal/halt/halt.go
+++ b/internal/halt/halt.go
@@ -38,6 +38,8 @@
 const (
 	// backlogQuiet is how long nobody must have connected before the listener is closed.
 	backlogQuiet = 50 * time.Millisecond
+	// backlogMost bounds that where connections never cease to come.
+	backlogMost = 4 * backlogQuiet
 	// firstWait is how long a new connection may take to bring its first request.
 	firstWait = 500 * time.Millisecond
 	pollEvery = 10 * time.Millisecond
@@ -106,9 +108,9 @@
 	s.accepted = time.Now()
 }
 
-// emptyBacklog waits until nobody connects any more.
+// emptyBacklog waits until nobody connects any more, but not for ever.
 func (s *Server) emptyBacklog(ctx context.Context) {
-	for {
+	for from := time.Now(); time.Since(from) < backlogMost; {
 		s.mu.Lock()
 		quiet := time.Since(s.accepted)
 		s.mu.Unlock()
--- a/internal/halt/halt_test.go
+++ b/internal/halt/halt_test.go
@@ -139,6 +139,46 @@
 	assert.Equal(t, err, io.EOF)
 }
 
+// Load pattern: callers connect without cease. A stop ends all the same, and those
+// whose connection was accepted are answered.
+func TestStopUnderConnections(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		fmt.Fprint(w, "done")
+	})})
+	go func() { assert.Check(t, s.Serve(lis)) }()
+	done := make(chan struct{})
+	var g sync.WaitGroup
+	g.Go(func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			c, err := net.Dial("tcp", lis.Addr().String())
+			if err != nil {
+				continue // The listener is closed by then.
+			}
+			g.Go(func() {
+				defer c.Close()
+				// Whether it was accepted is not known; a stop that hangs is what fails.
+				_ = send(c)
+			})
+		}
+	})
+	time.Sleep(100 * time.Millisecond)
+	from := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Stop(ctx))
+	assert.Assert(t, time.Since(from) < 2*firstWait, "took %s", time.Since(from))
+	close(done)
+	g.Wait()
+}
+
 // A pipelined request that was read together with the one before is answered.
 func TestPipelinedRequest(t *testing.T) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
