--- a/internal/front/answer.go
+++ b/internal/front/answer.go
@@ -102,7 +102,8 @@
 // read reads one final answer and the id that it bears. It tells whether another
 // answer may follow on the connection. After an error the connection cannot be used.
 func (x *conn) read(q call) (r result, id string, more bool, err error) {
-	a, err := x.readHead(q.method)
+	// To close the body would read one without end; the connection is closed instead.
+	a, err := x.readHead(q.method) //nolint:bodyclose
 	if err != nil {
 		return r, "", false, err
 	}
--- a/internal/sight/sight.go
+++ b/internal/sight/sight.go
@@ -193,15 +193,15 @@
 	b := make([]byte, maxDatagram)
 	for {
 		n, _, err := s.o.Conn.ReadFrom(b)
-		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
+		switch {
+		case ctx.Err() != nil, errors.Is(err, net.ErrClosed):
+			return ctx.Err()
+		case err != nil:
 			// A peer that is gone may be told of by the kernel here.
 			level.Debug(s.o.Log).Log("msg", "sights not heard", "err", err)
-			continue
+		default:
+			s.hear(b[:n])
 		}
-		s.hear(b[:n])
 	}
 }
 
