Blame no target for callers that leave, nor for a way that is cut to one VM

Cause, found by reading the diff: when a caller left, or its time was up, while its request was on the way, the send ended as one that the target had broken off or that did not reach it. The target rested for it at this VM, and since VMs tell each other, at all VMs of the failure domain. And a VM whose way to one target is cut made the others rest that target, and took it up again itself as soon as it served another.

Excluded: not telling of failures to connect. Targets that end without a word are found by them.

Change: a send that this side ends says nothing of the target. A VM's failure to reach a target counts for others unless it served one of them within the last second, and what another VM saw ends only a rest that came from others.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -22,8 +22,8 @@
 	// confirms. Times bounds hold only for VMs that reach the replicas, so that
 	// serving goes before refusing.
 	staleFor = time.Minute
-	// firstFresh covers an election: without a leader an entry that has just started
-	// serves by what a replica told it, but not sooner.
+	// firstFresh bounds the wait of an entry that has just started, where neither a
+	// leader nor most replicas tell it that its catalogue is the newest: an election.
 	firstFresh = 1200 * time.Millisecond
 	// ratioPart is the part of the retry ratio that is used, since the windows of an
 	// observer begin at any time.
--- a/internal/front/decide.go
+++ b/internal/front/decide.go
@@ -49,6 +49,8 @@
 	leaving bool
 	// pause is how long the target wants nothing from this VM.
 	pause time.Duration
+	// cutShort says that this side ended the send, so that nothing follows for the target.
+	cutShort bool
 	// moved says that the target stopped taking requests while this one waited.
 	moved bool
 	// waited is how long the request was in the queue of its target.
@@ -61,6 +63,9 @@
 
 // faulty tells whether the send speaks against the target.
 func (r result) faulty() bool {
+	if r.cutShort {
+		return false
+	}
 	return r.outcome == unreached || r.outcome == unknown && !r.reused
 }
 
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -179,7 +179,8 @@
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
 		id: j.id, target: t.id, left: rest, dialect: f.o.Dialect, hold: j.hold,
 	})
-	if r.outcome == unknown && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	r.cutShort = ctx.Err() != nil
+	if r.outcome == unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome, r.reason = late, "no answer before the deadline"
 	}
 	took := f.now() - from
--- a/internal/front/sights.go
+++ b/internal/front/sights.go
@@ -16,6 +16,9 @@
 	// of a failure domain together meet a target once in a second or two. It doubles
 	// like other rests.
 	firstUnreachedRest = 2 * time.Second
+	// servedLife is for how long an answer to one VM counts against another's failure
+	// to reach the target: then it is the way to that VM that is cut.
+	servedLife = time.Second
 	// creditPart is the weight of a new report in a VM's part of failures.
 	creditPart = 0.1
 	// mostFailures is the part of failures from which a VM is not believed: more
@@ -58,7 +61,7 @@
 		return
 	}
 	x := sight.Report{
-		Target: t.seed, Unreached: r.outcome == unreached, Failed: r.faulty() && r.outcome != unreached,
+		Target: t.seed, Unreached: r.faulty() && r.outcome == unreached, Failed: r.faulty() && r.outcome != unreached,
 		Handled: r.handled() && j.keyed, Loaded: r.loaded,
 	}
 	if x.Handled {
@@ -95,17 +98,28 @@
 	if r.Loaded && at > t.heardAt {
 		t.others, t.heardAt = max(0, float64(r.Load-t.inFlight)), at
 	}
+	if r.Handled {
+		t.servedAt = max(t.servedAt, at)
+		if t.hearsay && at > t.failedAt {
+			t.failures, t.restUntil = 0, 0
+		}
+	}
 	switch {
-	case r.Handled && at > t.failedAt:
-		t.failures, t.restUntil = 0, 0
-	case r.Unreached && believed:
+	case !believed:
+	case r.Unreached && (t.servedAt == 0 || at > t.servedAt+servedLife):
 		// Of the VMs that rest together some come back sooner and tell the others.
-		t.rest(firstUnreachedRest, now)
+		t.restByHearsay(firstUnreachedRest, now)
 		t.restUntil += rand.N(firstUnreachedRest)
-	case r.Failed && believed:
+	case r.Failed:
 		if b := t.blame; b.at > 0 && b.by != vm && now-b.at < blameLife {
-			t.rest(firstRest, now)
+			t.restByHearsay(firstRest, now)
 		}
 		t.blame = blame{by: vm, at: max(1, at)}
 	}
 }
+
+// restByHearsay rests the target for another VM's failure; the caller holds the lock.
+func (t *target) restByHearsay(first, now time.Duration) {
+	t.hearsay = t.failures == 0 || t.hearsay
+	t.rest(first, now)
+}
--- a/internal/front/sights_test.go
+++ b/internal/front/sights_test.go
@@ -1,12 +1,16 @@
 package front
 
 import (
+	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
 	"github.com/eelgrassroad/eelgrassroad/internal/place"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/internal/sight"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
@@ -109,6 +113,58 @@
 	assert.Assert(t, x.usable(now+2*time.Millisecond))
 }
 
+// The way to a target is cut for one VM only. The others go on using it, and that one
+// does not come back to it because it serves them.
+func TestCutForOneVM(t *testing.T) {
+	now := 10 * time.Second
+	served, cut := seenTarget(), seenTarget()
+	served.hear(2, sight.Report{Handled: true, Object: 1}, true, now)
+	served.hear(1, sight.Report{Unreached: true}, true, now+servedLife/2)
+	assert.Assert(t, served.usable(now+servedLife/2))
+	cut.judge(result{outcome: unreached}, now)
+	cut.hear(2, sight.Report{Handled: true, Object: 1}, true, now+time.Millisecond)
+	assert.Assert(t, !cut.usable(now+2*time.Millisecond))
+}
+
+// A caller that leaves, or whose time is up, while its request is on the way says
+// nothing of the target.
+func TestCallerThatLeavesBlamesNobody(t *testing.T) {
+	quiet := newStandIn(t, silence)
+	stuck := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	tests := []struct {
+		name     string
+		dial     setup.Dialer
+		deadline string
+	}{
+		{"before a connection", stuck, "2000"},
+		{"while the target works", nil, "2000"},
+		{"its time is up before a connection", stuck, "50"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := worldOf(t, quiet)
+			f := New(Options{Domain: "a-1", World: w, Dialect: Native, Log: log.NewNopLogger(), Dial: tt.dial})
+			defer f.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			r := httptest.NewRequest(http.MethodGet, "/safe/x", nil).WithContext(ctx)
+			r.Host = "h.example"
+			r.Header.Set(Native.RequestID, "id-1")
+			r.Header.Set(Native.Deadline, tt.deadline)
+			func() {
+				defer func() { _ = recover() }() // The front hangs up on a caller that has gone.
+				f.ServeHTTP(httptest.NewRecorder(), r)
+			}()
+			x := f.tables.all["t0"]
+			assert.Equal(t, x.failures, 0)
+			assert.Assert(t, x.usable(f.now()))
+		})
+	}
+}
+
 // Two fronts of a failure domain: the second knows what the first has learned.
 func TestFrontsShareWhatTheySee(t *testing.T) {
 	s := newStandIn(t, "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\nEel-Load: 2,1,3\r\nContent-Length: 4\r\n\r\nbody")
--- a/internal/front/target.go
+++ b/internal/front/target.go
@@ -46,6 +46,10 @@
 	failures  int
 	failedAt  time.Duration
 	restUntil time.Duration
+	// hearsay says that the last failure was another VM's.
+	hearsay bool
+	// servedAt is when the target last answered this VM or one that told of it.
+	servedAt  time.Duration
 	coldUntil time.Duration
 	blame     blame
 	// misplaced says that another target answered at the address.
@@ -161,12 +165,14 @@
 	switch {
 	case r.wrongTarget:
 		t.misplaced = true
-	case r.outcome == unreached:
+	case r.faulty() && r.outcome == unreached:
 		t.rest(firstUnreachedRest, now)
+		t.hearsay = false
 	case r.faulty():
 		t.rest(firstRest, now)
+		t.hearsay = false
 	case r.outcome == answered || r.outcome == notRun:
-		t.failures = 0
+		t.failures, t.servedAt = 0, now
 	}
 }
 
