--- a/internal/front/sights_test.go
+++ b/internal/front/sights_test.go
@@ -138,18 +138,20 @@
 		name     string
 		dial     setup.Dialer
 		deadline string
+		leaves   time.Duration
 	}{
-		{"before a connection", stuck, "2000"},
-		{"while the target works", nil, "2000"},
-		{"its time is up before a connection", stuck, "50"},
+		{"before a connection", stuck, "2000", 300 * time.Millisecond},
+		{"while the target works", nil, "2000", 300 * time.Millisecond},
+		{"its time is up before a connection", stuck, "500", 2 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			w := worldOf(t, quiet)
 			f := New(Options{Domain: "a-1", World: w, Dialect: Native, Log: log.NewNopLogger(), Dial: tt.dial})
 			defer f.Close()
-			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
+			time.AfterFunc(tt.leaves, cancel)
 			r := httptest.NewRequest(http.MethodGet, "/safe/x", nil).WithContext(ctx)
 			r.Host = "h.example"
 			r.Header.Set(Native.RequestID, "id-1")
