--- /dev/null
+++ b/internal/front/choose.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"slices"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/place"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// hold is by which part a further target must be cheaper to be used.
+const hold = 0.2
+
+// choose returns the target for the next send, and whether it is not the
+// object's first one.
+func (f *Front) choose(q *request, c *model.Catalogue, tried map[model.TargetID]bool) (t *target, spill, ok bool) {
+	now := f.now()
+	usable := func(t *target) bool { return atHome(q.route, t.region) && t.usable(now) }
+	var list []*target
+	f.tables.read(c, q.service, func(r *roster) {
+		if !q.keyed() {
+			list = slices.DeleteFunc(slices.Clone(r.list), func(t *target) bool { return tried[t.id] || !usable(t) })
+			return
+		}
+		home := c.RegionOf(f.o.Domain)
+		near := place.Near(r.part(home), len(c.Regions))
+		list = place.First(q.key, r.list, place.DefaultSpread, usable, func(t *target) place.Rank {
+			if t.region == home {
+				return place.Rank{Seed: t.seed, Weight: near}
+			}
+			return place.Rank{Seed: t.seed, Weight: 1}
+		})
+	})
+	candidate := func(t *target) place.Candidate { return t.candidate(q.work, q.key, q.keyed(), now) }
+	if q.keyed() {
+		i, ok := place.Choose(list, hold, candidate, func(t *target) bool { return tried[t.id] })
+		if !ok {
+			return nil, false, false
+		}
+		return list[i], i > 0, true
+	}
+	i, ok := place.Least(q.key, list, candidate)
+	if !ok {
+		return nil, false, false
+	}
+	return list[i], false, true
+}
+
+// keyed tells whether a target that knows the object is to be preferred.
+func (q *request) keyed() bool { return q.route.Affinity && q.object != "" }
+
+func atHome(r model.Route, region model.RegionID) bool {
+	if len(r.HomeRegions) == 0 {
+		return true
+	}
+	for _, h := range r.HomeRegions {
+		if h == region {
+			return true
+		}
+	}
+	return false
+}
+
+// shortestPause returns how long all targets of a request still want nothing, or 0
+// where one does not say so.
+func (f *Front) shortestPause(q *request, c *model.Catalogue) time.Duration {
+	now, shortest, paused := f.now(), longestPause, false
+	f.tables.read(c, q.service, func(r *roster) {
+		for _, t := range r.list {
+			if p := t.pausedFor(now); p > 0 && atHome(q.route, t.region) {
+				shortest, paused = min(shortest, p), true
+			}
+		}
+	})
+	if !paused {
+		return 0
+	}
+	return shortest
+}
--- /dev/null
+++ b/internal/front/endless_test.go
@@ -0,0 +1,170 @@
+package front
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+	"gotest.tools/v3/assert"
+)
+
+// endless writes bytes until the other side closes.
+func endless(c net.Conn, start, again string, pause time.Duration) bool {
+	if _, err := io.WriteString(c, start); err != nil {
+		return false
+	}
+	for {
+		if _, err := io.WriteString(c, again); err != nil {
+			return false
+		}
+		time.Sleep(pause)
+	}
+}
+
+// Targets in trouble send bytes that are no answer and do not end. Callers get a
+// true failure in their time, the connections are closed, the memory stays bounded,
+// and a sound target's answers still come.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		okHead = "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\n"
+		kb     = 1 << 10
+		troubled,
+		perTarget = 8, 4
+		// A VM of 184 MB, with what the daemon gives the collector and large answers.
+		vmBytes     = 184 << 20
+		answerBytes = vmBytes / 8
+		deadline    = 600 * time.Millisecond
+	)
+	defer debug.SetMemoryLimit(debug.SetMemoryLimit(vmBytes * 3 / 4))
+	junk := strings.Repeat("x", 16*kb)
+	tests := []struct {
+		name  string
+		start string
+		again string
+		pause time.Duration
+		// status is what a caller gets of such a target.
+		status int
+		// later says that a connection which was sound at first may break under a
+		// later request, whose caller is told that nothing is known of it.
+		later bool
+	}{
+		{"no status line", "", junk, 0, 502, false},
+		{"a header line", okHead + "X-Long: ", junk, 0, 502, false},
+		{"many header lines", okHead, strings.Repeat("X-More: y\r\n", kb), 0, 502, false},
+		{"interim answers", "", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 100), 0, 502, false},
+		{"a body with a length", okHead + "Content-Length: 99999999999\r\n\r\n", junk, 0, 502, false},
+		{"a body with a length that would do", okHead + "Content-Length: 60000000\r\n\r\n", junk, 0, 502, false},
+		{"a body without a length", okHead + "\r\n", junk, 0, 502, false},
+		{"chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n", "4000\r\n" + junk + "\r\n", 0, 502, false},
+		{"a chunk's size", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1;" + junk, 0, 502, false},
+		{"trailers", okHead + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", strings.Repeat("X-More: y\r\n", kb), 0, 502, false},
+		{"answers to other requests", "", strings.Replace(whole, "ID", "other", 1), 0, 502, false},
+		{"a slow head", okHead, "X-More: y\r\n", 20 * time.Millisecond, 504, false},
+		{"a slow body", okHead + "\r\n", "y", 20 * time.Millisecond, 504, false},
+		{"after an answer", whole, junk, 0, 200, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var targets []*standIn
+			for range troubled {
+				targets = append(targets, newRaw(t, func(c net.Conn, r *http.Request) bool {
+					id := r.Header.Get(Native.RequestID)
+					return endless(c, strings.ReplaceAll(tt.start, "ID", id), tt.again, tt.pause)
+				}))
+			}
+			w := worldOf(t, targets...)
+			f := newFront(w)
+			f.answers = semaphore.NewWeighted(answerBytes)
+			defer f.Close()
+			var most atomic.Uint64
+			stop := make(chan struct{})
+			go watchHeap(&most, stop)
+			var g sync.WaitGroup
+			var asTold atomic.Int64
+			for i := range troubled * perTarget {
+				g.Go(func() {
+					from := time.Now()
+					r := httptest.NewRequest(http.MethodPost, "/once/x", strings.NewReader("in"))
+					r.Host = "h.example"
+					r.Header.Set(Native.RequestID, fmt.Sprintf("id-%d", i))
+					r.Header.Set(Native.Deadline, fmt.Sprint(deadline.Milliseconds()))
+					a := httptest.NewRecorder()
+					f.ServeHTTP(a, r)
+					// A target that fails rests, so that some requests find none.
+					assert.Check(t, a.Code == tt.status || a.Code == 503 || tt.later && a.Code == 502, "status %d: %s", a.Code, a.Body)
+					if a.Code == tt.status {
+						asTold.Add(1)
+					}
+					assert.Check(t, a.Code != 200 || a.Body.String() == "body")
+					assert.Check(t, time.Since(from) < deadline+2*lateSlack, "held for %s", time.Since(from))
+				})
+			}
+			g.Wait()
+			close(stop)
+			assert.Assert(t, asTold.Load() > 0, "no request met a target")
+			assert.Assert(t, most.Load() < vmBytes, "%d MB in use", most.Load()>>20)
+			for _, x := range targets {
+				if x.requests() == 0 {
+					continue
+				}
+				select {
+				case <-x.closed:
+				case <-time.After(4 * sweepEvery):
+					t.Fatal("a connection is still open")
+				}
+			}
+		})
+	}
+}
+
+func watchHeap(most *atomic.Uint64, stop <-chan struct{}) {
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		most.Store(max(most.Load(), m.HeapInuse+m.StackInuse))
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Large answers share a bound of memory. One that finds no room fails, and answers
+// of the usual size are not held up by it.
+func TestLargeAnswersShareTheMemory(t *testing.T) {
+	const large, all = 1 << 20, 4 << 20
+	body := strings.Repeat("y", large)
+	s := newRaw(t, func(c net.Conn, r *http.Request) bool {
+		n := len(body)
+		if strings.HasSuffix(r.URL.Path, "small") {
+			n = 4
+		}
+		return say(c, r, fmt.Sprintf("HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\nContent-Length: %d\r\n\r\n%s", n, body[:n]))
+	})
+	f := newFront(worldOf(t, s))
+	f.answers = semaphore.NewWeighted(all)
+	defer f.Close()
+	assert.Equal(t, askAs(f, "id-1", "/safe/large").Body.Len(), large)
+	// The memory of an answer is given back when it was delivered.
+	for i := range 10 {
+		assert.Equal(t, askAs(f, fmt.Sprintf("id-1-%d", i), "/safe/large").Code, 200)
+	}
+	assert.Assert(t, f.answers.TryAcquire(all))
+	assert.Equal(t, askAs(f, "id-2", "/once/large").Code, 502)
+	f.answers.Release(all)
+	time.Sleep(2 * firstRest)
+	assert.Assert(t, f.answers.TryAcquire(all))
+	assert.Equal(t, askAs(f, "id-3", "/once/small").Code, 200)
+	f.answers.Release(all)
+}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,8 +19,6 @@
 	defaultBodyBytes = 64 << 20
 	// lateSlack is how long after the deadline the target's own last word is waited for.
 	lateSlack = 100 * time.Millisecond
-	// hold is by which part a further target must be cheaper to be used.
-	hold = 0.2
 	// comeBack is when a caller may try again where no target can be used: by then
 	// announcements and routings that are on their way have come.
 	comeBack = 300 * time.Millisecond
@@ -254,23 +251,6 @@
 	return q.refusal("no target can be used: "+q.reason, in)
 }
 
-// shortestPause returns how long all targets of a request still want nothing, or 0
-// where one does not say so.
-func (f *Front) shortestPause(q *request, c *model.Catalogue) time.Duration {
-	now, shortest, paused := f.now(), longestPause, false
-	f.tables.read(c, q.service, func(r *roster) {
-		for _, t := range r.list {
-			if p := t.pausedFor(now); p > 0 && atHome(q.route, t.region) {
-				shortest, paused = min(shortest, p), true
-			}
-		}
-	})
-	if !paused {
-		return 0
-	}
-	return shortest
-}
-
 // comeBack is when a refused caller may try again: when the shortest of the
 // queues that refused it will have gone.
 func (q *request) comeBack() time.Duration {
@@ -280,56 +260,6 @@
 	return max(q.retryIn, soonest)
 }
 
-// choose returns the target for the next send, and whether it is not the
-// object's first one.
-func (f *Front) choose(q *request, c *model.Catalogue, tried map[model.TargetID]bool) (t *target, spill, ok bool) {
-	now := f.now()
-	usable := func(t *target) bool { return atHome(q.route, t.region) && t.usable(now) }
-	var list []*target
-	f.tables.read(c, q.service, func(r *roster) {
-		if !q.keyed() {
-			list = slices.DeleteFunc(slices.Clone(r.list), func(t *target) bool { return tried[t.id] || !usable(t) })
-			return
-		}
-		home := c.RegionOf(f.o.Domain)
-		near := place.Near(r.part(home), len(c.Regions))
-		list = place.First(q.key, r.list, place.DefaultSpread, usable, func(t *target) place.Rank {
-			if t.region == home {
-				return place.Rank{Seed: t.seed, Weight: near}
-			}
-			return place.Rank{Seed: t.seed, Weight: 1}
-		})
-	})
-	candidate := func(t *target) place.Candidate { return t.candidate(q.work, q.key, q.keyed(), now) }
-	if q.keyed() {
-		i, ok := place.Choose(list, hold, candidate, func(t *target) bool { return tried[t.id] })
-		if !ok {
-			return nil, false, false
-		}
-		return list[i], i > 0, true
-	}
-	i, ok := place.Least(q.key, list, candidate)
-	if !ok {
-		return nil, false, false
-	}
-	return list[i], false, true
-}
-
-// keyed tells whether a target that knows the object is to be preferred.
-func (q *request) keyed() bool { return q.route.Affinity && q.object != "" }
-
-func atHome(r model.Route, region model.RegionID) bool {
-	if len(r.HomeRegions) == 0 {
-		return true
-	}
-	for _, h := range r.HomeRegions {
-		if h == region {
-			return true
-		}
-	}
-	return false
-}
-
 // sendTo sends a request to one target and waits for its answer.
 func (f *Front) sendTo(q *request, c *model.Catalogue, t *target, spill bool) result {
 	if q.r.Context().Err() != nil {
