Allow either bound to end bytes without end

Both are bounds that the test is for, each a true failure in the caller's time; which one comes first depends on how fast the machine reads. The check takes either; a 200, a late answer, an open connection or memory beyond the VM's still fail.

--- a/internal/front/endless_test.go
+++ b/internal/front/endless_test.go
@@ -100,9 +100,11 @@
 					r.Header.Set(Native.Deadline, fmt.Sprint(deadline.Milliseconds()))
 					a := httptest.NewRecorder()
 					f.ServeHTTP(a, r)
-					// A target that fails rests, so that some requests find none.
-					assert.Check(t, a.Code == tt.status || a.Code == 503 || tt.later && a.Code == 502, "status %d: %s", a.Code, a.Body)
-					if a.Code == tt.status {
+					// A target that fails rests, so that some requests find none. Bytes and time
+					// are both bounded, and which bound comes first is the machine's speed.
+					inTime := a.Code == tt.status || a.Code == 504 && tt.status == 502
+					assert.Check(t, inTime || a.Code == 503 || tt.later && a.Code == 502, "status %d: %s", a.Code, a.Body)
+					if inTime {
 						asTold.Add(1)
 					}
 					assert.Check(t, a.Code != 200 || a.Body.String() == "body")
