Workspaces: keys, homes, allowances and the age of a proof, thin through the whole path

Change: workspaces are objects of the catalogue with digests of their keys; a routing and its workspaces are one change; entries look keys up, hold them for bounds.revoke after a leader's proof, name the workspace to targets and never pass the key on; a ledger at the leader credits what an entry may take of an allowance (internal/quota).

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -41,6 +41,7 @@
 	x, err := entry.New(entry.Options{
 		ID: model.VMID(s.Name), Addr: s.Internal, Domain: s.Domain, Replicas: s.Seeds, Key: d.key, Sole: true,
 		Dial: d.dial, RenewEvery: renewEvery, PullPause: pullPause, PullWait: pullWait, Log: d.l,
+		Allowances: s.Allowances(),
 	})
 	if err != nil {
 		return err
@@ -52,6 +53,7 @@
 	f := front.New(front.Options{
 		Sights: front.SightOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, World: x, Dialect: platform.Dialect, Log: d.l, Dial: dialer(d.o, s, targetDialTimeout),
+		KeyLife: s.KeyLife, AllowanceWindow: s.AllowanceWindow,
 		StaleFor: staleFor, FirstFresh: firstFresh, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
 		Budget: front.BudgetOptions{Ratio: s.RetryRatio * ratioPart, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
--- /dev/null
+++ b/internal/entry/allow.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/quota"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	// askEvery is the least time between two renewals for more credit.
+	askEvery = 100 * time.Millisecond
+	// askTime bounds the wait of a request for credit: some renewals across regions.
+	askTime = 300 * time.Millisecond
+)
+
+// asks paces the renewals for more credit.
+type asks struct {
+	mu sync.Mutex
+	at time.Duration
+}
+
+func (a *asks) due(now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.at > 0 && now < a.at+askEvery {
+		return false
+	}
+	a.at = now
+	return true
+}
+
+// ProvedAgo tells how long ago a leader's word proved that the catalogue was the
+// newest, counted from when it was asked for.
+func (x *Entry) ProvedAgo() (time.Duration, bool) {
+	x.lease.mu.Lock()
+	defer x.lease.mu.Unlock()
+	return x.now() - x.lease.provedAt, x.lease.proved
+}
+
+// Allow takes one request out of the allowance of a workspace. It asks the leader
+// where this VM has used up its credit, and tells whether the request may run.
+func (x *Entry) Allow(ctx context.Context, w model.Workspace) bool {
+	if !w.Allowance.Limited() {
+		return true
+	}
+	most, vms := x.o.Allowances.Most(w.Allowance), x.VMs("")
+	for until := x.now() + askTime; ; {
+		next := x.lease.next()
+		switch x.meter.Take(w.Name, most, vms, x.now()) {
+		case quota.Taken:
+			return true
+		case quota.Denied:
+			return false
+		}
+		if x.now() >= until || ctx.Err() != nil {
+			return false
+		}
+		if x.asks.due(x.now()) {
+			x.kick()
+		}
+		t := time.NewTimer(askEvery)
+		select {
+		case <-next:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+// PutBack gives back a request that was allowed some time ago and did not run.
+func (x *Entry) PutBack(w model.Workspace, ago time.Duration) {
+	if w.Allowance.Limited() {
+		x.meter.PutBack(w.Name, x.now()-ago, x.now())
+	}
+}
+
+// Pace returns which part of the requests of a workspace were allowed of late.
+func (x *Entry) Pace(id model.WorkspaceID) float64 { return x.meter.Pace(id, x.now()) }
+
+// reportUses returns what the leader is told of the use of allowances.
+func (x *Entry) reportUses() []*eelpb.AllowanceUse {
+	var out []*eelpb.AllowanceUse
+	for _, u := range x.meter.Report(x.now()) {
+		out = append(out, &eelpb.AllowanceUse{
+			Workspace: string(u.Workspace), Used: uint64(u.Used), Left: uint64(u.Left), Wanted: uint64(u.Wanted),
+		})
+	}
+	return out
+}
+
+// takeCredits puts the leader's credits in force.
+func (x *Entry) takeCredits(credits []*eelpb.AllowanceCredit, until time.Duration) {
+	list := make([]quota.Credit, len(credits))
+	for i, c := range credits {
+		list[i] = quota.Credit{Workspace: model.WorkspaceID(c.Workspace), Credit: int(c.Credit), Busy: c.Busy}
+	}
+	x.meter.Credit(list, until)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
 	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/quota"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/internal/steer"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
@@ -84,7 +85,9 @@
 	PullPause time.Duration
 	// PullWait is how long a pull waits for news.
 	PullWait time.Duration
-	Log      log.Logger
+	// Allowances say how those of workspaces are counted.
+	Allowances quota.Bounds
+	Log        log.Logger
 }
 
 // view is the catalogue in force with the table of sites that follows from it.
@@ -123,6 +126,8 @@
 	rests     rests
 	refusals  refusals
 	last      lastRenewal
+	meter     *quota.Meter
+	asks      asks
 }
 
 // New starts an entry.
@@ -143,6 +148,7 @@
 		back: &http.Client{Transport: newTransport(o.Dial), CheckRedirect: keepRedirects},
 	}
 	x.book = burn.New(x.now)
+	x.meter = quota.NewMeter(o.Allowances)
 	x.lease.incarnation = rand.Uint64()
 	x.lease.granted = make(chan struct{})
 	x.pools.init(x.now)
@@ -239,6 +245,10 @@
 	until       time.Duration
 	length      time.Duration
 	grant       uint64
+	// provedAt is when the last renewal was sent by which the leader confirmed that
+	// the catalogue is the newest, where proved.
+	provedAt time.Duration
+	proved   bool
 	// granted is closed when the next grant is in force.
 	granted chan struct{}
 }
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -131,6 +131,7 @@
 	x.reportTargets(q)
 	q.HoldsDigest = x.last.holds.GetHoldsDigest()
 	q.Shares, q.Demands = x.limits.report(x.now())
+	q.Uses = x.reportUses()
 	x.pools.each(func(s model.ServiceID, p *pool.Pool) {
 		for _, id := range p.Held() {
 			q.Held = append(q.Held, string(id))
@@ -187,6 +188,8 @@
 	defer x.lease.mu.Unlock()
 	x.lease.length = time.Duration(r.LeaseMs) * time.Millisecond
 	x.lease.until = sent + x.lease.length
+	x.lease.provedAt, x.lease.proved = sent, true
+	x.takeCredits(r.Credits, x.lease.until)
 	x.lease.grant = r.Grant
 	close(x.lease.granted)
 	x.lease.granted = make(chan struct{})
--- /dev/null
+++ b/internal/front/access.go
@@ -0,0 +1,134 @@
+package front
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	// keyScheme goes before a key; its letter case does not matter (RFC 9110, section 11.1).
+	keyScheme = "Bearer"
+	// maxKeyBytes bounds the keys that are looked up.
+	maxKeyBytes = 4 << 10
+	// oldKeys is why a request with a good key is refused.
+	oldKeys = "the keys may be out of date"
+	// clockRateBound divides a time to give what clocks may drift apart in it.
+	clockRateBound = 50
+)
+
+// access is what a request's key says of it.
+type access struct {
+	// guarded says that the routing asks for keys, so that they go no further.
+	guarded bool
+	// known says that the key is that of the workspace.
+	known     bool
+	workspace model.Workspace
+	// takenAt is when the request was taken out of the allowance, where taken.
+	taken   bool
+	takenAt time.Duration
+}
+
+// mark puts the workspace in place of the caller's key, whatever the caller says that
+// its workspace is.
+func (a access) mark(h http.Header, d Dialect) {
+	if !a.guarded {
+		return
+	}
+	h.Del(d.Authorization)
+	h.Del(d.Workspace)
+	if a.known {
+		h.Set(d.Workspace, string(a.workspace.Name))
+	}
+}
+
+// keyOf returns the key that a request carries, or why there is none.
+func keyOf(values []string) (key, why string) {
+	switch len(values) {
+	case 0:
+		return "", "a key is missing"
+	case 1:
+	default:
+		return "", "there is more than one key"
+	}
+	scheme, key, _ := strings.Cut(strings.TrimSpace(values[0]), " ")
+	key = strings.TrimLeft(key, " ")
+	switch {
+	case !strings.EqualFold(scheme, keyScheme):
+		return "", "the key does not come as " + keyScheme
+	case key == "":
+		return "", "the key is empty"
+	case len(key) > maxKeyBytes:
+		return "", "the key is too long"
+	}
+	return key, ""
+}
+
+// admit finds out whose request it is, and takes it out of the workspace's allowance.
+func (f *Front) admit(q *request, c *model.Catalogue) (answer, bool) {
+	if !c.Routing.Keyed {
+		return answer{}, true
+	}
+	q.access.guarded = true
+	key, why := keyOf(q.r.Header.Values(f.o.Dialect.Authorization))
+	if why == "" {
+		q.access.workspace, q.access.known = c.Workspaces.Of(model.DigestOf(key))
+		if !q.access.known {
+			why = "the key is not known"
+		}
+	}
+	switch {
+	case !q.access.known && q.route.Public:
+		return answer{}, true
+	case !q.access.known && !f.o.World.Fresh():
+		return q.refusal(why+", and the keys may be out of date", comeBack), false
+	case !q.access.known:
+		return q.own(http.StatusUnauthorized, why), false
+	case !f.keysHold():
+		return q.refusal(oldKeys, comeBack), false
+	}
+	if !f.o.World.Allow(q.r.Context(), q.access.workspace) {
+		return q.beyond(f.o.World.Pace(q.access.workspace.Name), f.o.AllowanceWindow), false
+	}
+	q.access.taken, q.access.takenAt = true, f.now()
+	return answer{}, true
+}
+
+// keysHold tells whether the keys of the catalogue may still be used: a withdrawal
+// that this VM has not heard of must not be older than that.
+func (f *Front) keysHold() bool {
+	if f.o.KeyLife == 0 {
+		return true
+	}
+	ago, ok := f.o.World.ProvedAgo()
+	return ok && ago < f.o.KeyLife-f.o.KeyLife/clockRateBound
+}
+
+// beyond refuses a request that its workspace's allowance does not cover. The more is
+// asked for beyond it, the longer until there is room, spread so that the callers do
+// not come back together.
+func (q *request) beyond(pace float64, window time.Duration) answer {
+	in := max(comeBack, time.Duration((1-pace)*float64(window)))
+	w := q.access.workspace.Allowance
+	a := q.own(http.StatusTooManyRequests, fmt.Sprintf("the workspace has used its allowance of %g requests a second and %g more", w.PerSecond, w.Burst))
+	a.retryIn = time.Duration((0.5 + unit(q.id)) * float64(in))
+	return a
+}
+
+// settle gives back what was taken out of the allowance for a request that did not run.
+func (f *Front) settle(q *request) {
+	if q.access.taken && q.p.sent == 0 {
+		f.o.World.PutBack(q.access.workspace, f.now()-q.access.takenAt)
+	}
+}
+
+// priority is the rank of the request: the workspace's goes before the route's.
+func (q *request) priority() int {
+	if p := q.access.workspace.Priority; p != nil {
+		return *p
+	}
+	return q.route.Priority
+}
--- a/internal/front/choose.go
+++ b/internal/front/choose.go
@@ -15,7 +15,7 @@
 // object's first one.
 func (f *Front) choose(q *request, c *model.Catalogue, tried map[model.TargetID]bool) (t *target, spill, ok bool) {
 	now := f.now()
-	usable := func(t *target) bool { return atHome(q.route, t.region) && t.usable(now) }
+	usable := func(t *target) bool { return q.atHome(t.region) && t.usable(now) }
 	var list []*target
 	f.tables.read(c, q.service, func(r *roster) {
 		if !q.keyed() {
@@ -49,16 +49,13 @@
 // keyed tells whether a target that knows the object is to be preferred.
 func (q *request) keyed() bool { return q.route.Affinity && q.object != "" }
 
-func atHome(r model.Route, region model.RegionID) bool {
-	if len(r.HomeRegions) == 0 {
-		return true
-	}
-	for _, h := range r.HomeRegions {
-		if h == region {
-			return true
-		}
-	}
-	return false
+// atHome tells whether both the route and the workspace may be served in a region.
+func (q *request) atHome(region model.RegionID) bool {
+	return isHome(q.route.HomeRegions, region) && isHome(q.access.workspace.HomeRegions, region)
+}
+
+func isHome(homes []model.RegionID, region model.RegionID) bool {
+	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
 // shortestPause returns how long all targets of a request still want nothing, or 0
@@ -67,7 +64,7 @@
 	now, shortest, paused := f.now(), longestPause, false
 	f.tables.read(c, q.service, func(r *roster) {
 		for _, t := range r.list {
-			if p := t.pausedFor(now); p > 0 && atHome(q.route, t.region) {
+			if p := t.pausedFor(now); p > 0 && q.atHome(t.region) {
 				shortest, paused = min(shortest, p), true
 			}
 		}
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -36,6 +36,7 @@
 	target            model.TargetID
 	left              time.Duration
 	dialect           Dialect
+	access            access
 	hold              *holding
 }
 
@@ -191,6 +192,7 @@
 	h := forwarded(q.header)
 	h.Set(q.dialect.Deadline, strconv.FormatInt(max(1, q.left.Milliseconds()), 10))
 	h.Set(q.dialect.WantTarget, string(q.target))
+	q.access.mark(h, q.dialect)
 	h.Del("Host")
 	h.Del("Expect")
 	b.WriteString(q.method + " " + q.uri + " HTTP/1.1\r\nHost: " + q.host + "\r\n")
--- a/internal/front/dialect.go
+++ b/internal/front/dialect.go
@@ -28,12 +28,18 @@
 	Load string
 	// Leaving says, as "1", that the target leaves and wants nothing new.
 	Leaving string
+	// Authorization carries the caller's key after the word Bearer (RFC 6750). It ends
+	// here.
+	Authorization string
+	// Workspace tells a target whose request it runs.
+	Workspace string
 }
 
 // Native is the project's own dialect.
 var Native = Dialect{
 	RequestID: wire.HeaderRequestID, Deadline: wire.HeaderDeadline, Object: "Eel-Object",
 	Digest: "Eel-Digest", WantTarget: "Eel-Want-Target", NotRun: wire.HeaderShed, Load: "Eel-Load", Leaving: "Eel-Leaving",
+	Authorization: "Authorization", Workspace: "Eel-Workspace",
 }
 
 // load is what a target says of itself.
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -167,6 +167,9 @@
 	if rest <= 0 || ctx.Err() != nil || !t.usable(from) {
 		return result{outcome: refused, reason: "the time was up, or the target left, before it started"}, false
 	}
+	if j.access.known && !f.keysHold() {
+		return result{outcome: refused, reason: oldKeys}, false
+	}
 	if j.delivery == model.AtMostOnce {
 		// What has begun is finished: its caller may ask others what became of it.
 		ctx = context.WithoutCancel(ctx)
@@ -177,7 +180,7 @@
 	knew = !j.keyed || t.warm.Knows(j.key)
 	r = t.conns.exchange(ctx, call{
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
-		id: j.id, target: t.id, left: rest, dialect: f.o.Dialect, hold: j.hold,
+		id: j.id, target: t.id, left: rest, dialect: f.o.Dialect, access: j.access, hold: j.hold,
 	})
 	r.cutShort = ctx.Err() != nil
 	if r.outcome == unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -48,6 +48,16 @@
 	VMs(model.RegionID) int
 	// Neighbours returns the addresses of the other VMs of this failure domain.
 	Neighbours() []string
+	// ProvedAgo tells how long ago it was certain that the catalogue is the newest,
+	// and whether it ever was.
+	ProvedAgo() (time.Duration, bool)
+	// Allow takes one request out of the allowance of a workspace, or tells that it
+	// may not run.
+	Allow(context.Context, model.Workspace) bool
+	// PutBack gives back a request that was allowed some time ago and did not run.
+	PutBack(w model.Workspace, ago time.Duration)
+	// Pace returns which part of the requests of a workspace were allowed of late.
+	Pace(model.WorkspaceID) float64
 }
 
 // Options are the settings of a front.
@@ -65,6 +75,11 @@
 	// StaleFor is how long requests are served by a catalogue that may have been
 	// replaced; 0 means forever.
 	StaleFor time.Duration
+	// KeyLife is how long after it was certain that the catalogue is the newest the keys
+	// of workspaces count, on this VM's clock; 0 means forever.
+	KeyLife time.Duration
+	// AllowanceWindow is the time over which the requests of a workspace are counted.
+	AllowanceWindow time.Duration
 	// FirstFresh is how long after its start a front waits until its catalogue is
 	// known to be the newest, or was compared, before it serves by one that may not
 	// be: what it gets first may come from a replica that is behind.
--- a/internal/front/job.go
+++ b/internal/front/job.go
@@ -15,6 +15,9 @@
 	header            http.Header
 	body              []byte
 
+	// access is whose request it is.
+	access access
+
 	target    model.TargetID
 	route     model.RouteID
 	delivery  model.Delivery
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -39,6 +39,7 @@
 	until   time.Duration
 	body    []byte
 	route   model.Route
+	access  access
 	service model.ServiceID
 	// key is the hash of the object, or of the request where it names none.
 	key  place.Key
@@ -112,15 +113,25 @@
 	q.route = route
 	q.p = progress{delivery: route.Delivery, most: route.MaxAttempts}
 	q.setDeadline(f.o.Dialect)
+	if a, ok := f.admit(q, c); !ok {
+		return a
+	}
+	a := f.serve(q, c)
+	f.settle(q)
+	return a
+}
+
+// serve serves a request that was admitted.
+func (f *Front) serve(q *request, c *model.Catalogue) answer {
 	if a, ok := q.readBody(c.Routing.Limits); !ok {
 		return a
 	}
-	q.service = pick(route.Split, q.id)
-	q.work = f.works.get(route.Name, route.ObjectiveMillis.Duration())
+	q.service = pick(q.route.Split, q.id)
+	q.work = f.works.get(q.route.Name, q.route.ObjectiveMillis.Duration())
 	q.key = place.KeyOf(q.id)
 	if q.keyed() {
 		// Targets know an object by what they did with it, so each route has its own.
-		q.key = place.KeyOf(string(route.Name), q.object)
+		q.key = place.KeyOf(string(q.route.Name), q.object)
 	}
 	f.budgets.get(q.service).Base(f.now())
 	return f.send(q, c)
@@ -267,7 +278,7 @@
 	}
 	r := f.dispatch(q.r.Context(), c, &job{
 		method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.id, header: q.r.Header, body: q.body,
-		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.route.Priority,
+		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.priority(), access: q.access,
 		objective: q.route.ObjectiveMillis.Duration(), until: q.until, key: q.key, keyed: q.keyed(), hold: &q.hold, spill: spill,
 	}, t)
 	if q.r.Context().Err() != nil && r.outcome != answered {
@@ -323,7 +334,7 @@
 	}
 	if a.own {
 		h.Set(f.o.Dialect.RequestID, q.id)
-		if a.status == http.StatusServiceUnavailable {
+		if a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests {
 			h.Set("Retry-After", strconv.FormatFloat(a.retryIn.Seconds(), 'f', 3, 64))
 		}
 		a.body = []byte(q.reason + "\n")
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,170 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// Verdict is what becomes of a request.
+type Verdict int
+
+const (
+	// Taken: the request may run.
+	Taken Verdict = iota
+	// Ask: the credit is used up, and the leader may have more.
+	Ask
+	// Denied: the workspace has used its allowance.
+	Denied
+)
+
+const (
+	// horizon is for how long a credit should last: two renewals, since one may be lost.
+	horizon = 1600 * time.Millisecond
+	// growth is how much faster than of late requests may come without asking.
+	growth = 1.5
+	// rateSpan is the time over which a rise of demand is noticed.
+	rateSpan = time.Second
+	// unheardPart divides the most of a window, and the number of VMs, to give what a
+	// VM takes of a workspace before it was credited anything.
+	unheardPart = 8
+)
+
+// Meter counts what one VM uses. It is safe for concurrent use.
+type Meter struct {
+	mu     sync.Mutex
+	window time.Duration
+	until  time.Duration
+	m      map[model.WorkspaceID]*meter
+}
+
+// meter is the state of one workspace.
+type meter struct {
+	used, asked count
+	// credit is what may be taken, and credited that there was one.
+	credit   int
+	credited bool
+	busy     bool
+	// since counts what was taken after the last report, and reported what it told.
+	since, reported int
+	reportedAt      time.Duration
+	// level is the most in a window once the lease is over.
+	level int
+}
+
+// NewMeter returns a meter without credits.
+func NewMeter(b Bounds) *Meter {
+	return &Meter{window: b.window(), m: map[model.WorkspaceID]*meter{}}
+}
+
+// Take asks for one request of a workspace, of which most may run in a window at all
+// of a number of VMs.
+func (m *Meter) Take(id model.WorkspaceID, most, vms int, now time.Duration) Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.m[id]
+	if !ok {
+		x = &meter{used: newCount(m.window), asked: newCount(m.window)}
+		m.m[id] = x
+	}
+	x.asked.add(now)
+	x.used.advance(now)
+	v := x.verdict(now < m.until, max(1, most/(unheardPart*max(1, vms))))
+	if v != Taken {
+		return v
+	}
+	x.used.add(now)
+	x.credit = max(0, x.credit-1)
+	x.since++
+	return Taken
+}
+
+// verdict decides on a request; unheard is what may be taken without a credit.
+func (x *meter) verdict(leased bool, unheard int) Verdict {
+	switch {
+	case leased && x.credit > 0:
+		return Taken
+	case !x.busy && !x.credited && x.used.sum < unheard:
+		return Taken
+	case leased && !x.busy:
+		return Ask
+	case !leased && x.used.sum < x.level:
+		return Taken
+	}
+	return Denied
+}
+
+// PutBack takes back a request that was taken at a time and did not run.
+func (m *Meter) PutBack(id model.WorkspaceID, at, now time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.m[id]
+	if !ok {
+		return
+	}
+	x.used.takeBack(at, now)
+	if x.credited && x.since > 0 && at >= x.reportedAt {
+		x.credit++
+		x.since--
+	}
+}
+
+// Report returns the use of the workspaces of which there was any of late.
+func (m *Meter) Report(now time.Duration) []Use {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Use, 0, len(m.m))
+	for id, x := range m.m {
+		x.used.advance(now)
+		x.asked.advance(now)
+		if x.used.sum == 0 && x.asked.sum == 0 {
+			delete(m.m, id)
+			continue
+		}
+		x.since, x.reported, x.reportedAt = 0, x.used.sum, now
+		out = append(out, Use{Workspace: id, Used: x.used.sum, Left: x.credit, Wanted: x.wanted(m.window, now)})
+	}
+	return out
+}
+
+// wanted returns how many requests are expected within the horizon.
+func (x *meter) wanted(window, now time.Duration) int {
+	late := x.asked.last(rateSpan, now)
+	perSecond := max(float64(late)/rateSpan.Seconds(), float64(x.asked.sum)/window.Seconds())
+	n := int(math.Round(growth * perSecond * horizon.Seconds()))
+	if late > 0 {
+		n = max(1, n)
+	}
+	return n
+}
+
+// Credit takes the leader's answer to the last report; the credits hold until the
+// lease is over.
+func (m *Meter) Credit(credits []Credit, until time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.until = until
+	for _, c := range credits {
+		x, ok := m.m[c.Workspace]
+		if !ok {
+			continue
+		}
+		x.credit, x.credited, x.busy = max(0, c.Credit-x.since), true, c.Busy
+		x.level = x.reported
+	}
+}
+
+// Pace returns which part of the requests of a workspace were taken of late.
+func (m *Meter) Pace(id model.WorkspaceID, now time.Duration) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	x, ok := m.m[id]
+	if !ok {
+		return 1
+	}
+	x.used.advance(now)
+	x.asked.advance(now)
+	return min(1, float64(x.used.sum)/float64(max(1, x.asked.sum)))
+}
--- /dev/null
+++ b/internal/server/credit.go
@@ -0,0 +1,31 @@
+package server
+
+import (
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/quota"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+// credit adds to a renewal's reply what the entry may take of the allowances that it
+// uses; the caller holds mu.
+func (s *Server) credit(q *eelpb.RenewRequest, a *eelpb.RenewReply, c *model.Catalogue) {
+	now, vm := s.o.Node.Now(), model.VMID(q.Vm)
+	if q.Closing {
+		s.ledger.End(vm, q.Incarnation, now)
+		return
+	}
+	if a.WantTargets {
+		return
+	}
+	uses := make([]quota.Use, len(q.Uses))
+	for i, u := range q.Uses {
+		uses[i] = quota.Use{Workspace: model.WorkspaceID(u.Workspace), Used: int(u.Used), Left: int(u.Left), Wanted: int(u.Wanted)}
+	}
+	most := func(id model.WorkspaceID) (int, bool) {
+		w, _ := c.Workspaces.Get(id)
+		return s.o.Allowances.Most(w.Allowance), w.Allowance.Limited()
+	}
+	for _, x := range s.ledger.Renew(vm, q.Incarnation, uses, most, now, s.grantor.Quiet(now)) {
+		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy})
+	}
+}
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -169,7 +169,7 @@
 	s := newServer(t)
 	ctx := context.Background()
 	put := func(rev model.Revision, doc string) {
-		assert.NilError(t, s.PutRouting(ctx, &model.Routing{Revision: rev}, []byte(doc)))
+		assert.NilError(t, s.PutRouting(ctx, &model.Routing{Revision: rev}, nil, []byte(doc)))
 	}
 	for _, x := range []struct {
 		rev  model.Revision
@@ -181,7 +181,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, string(got), x.want)
 	}
-	err := s.PutRouting(ctx, &model.Routing{Revision: 9, Hosts: []model.VirtualHost{{Host: ""}}}, []byte("bad"))
+	err := s.PutRouting(ctx, &model.Routing{Revision: 9, Hosts: []model.VirtualHost{{Host: ""}}}, nil, []byte("bad"))
 	assert.ErrorContains(t, err, "host")
 	got, err := s.Document(ctx)
 	assert.NilError(t, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/lease"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
 	"github.com/eelgrassroad/eelgrassroad/internal/pack"
+	"github.com/eelgrassroad/eelgrassroad/internal/quota"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
@@ -82,6 +83,10 @@
 	// Heartbeat is the time between two announcements of a target; without it
 	// targets announce themselves to the entries.
 	Heartbeat time.Duration
+	// Allowances say how those of workspaces are counted. PaceFor is how long after
+	// the end of its lease an entry goes on at its pace.
+	Allowances quota.Bounds
+	PaceFor    time.Duration
 }
 
 // Server answers entries, replicas and operators.
@@ -92,6 +97,7 @@
 	mu        sync.Mutex
 	term      raft.Term
 	grantor   *lease.Grantor
+	ledger    *quota.Ledger
 	catalogue *model.Catalogue
 	registry  registry
 	gather    gatherer
@@ -178,6 +184,7 @@
 	if s.grantor == nil || s.term != t {
 		s.term = t
 		s.grantor = lease.New(lease.Options{Length: s.o.LeaseLength}, won, uint64(t))
+		s.ledger = quota.NewLedger(quota.LedgerOptions{Bounds: s.o.Allowances, Lease: s.grantor.Held(), Beyond: s.o.PaceFor})
 	}
 	return s.grantor, s.catalogue, true
 }
@@ -221,6 +228,7 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.AlreadyExists, err.Error())
 	}
+	s.credit(q, a, c)
 	// A process that was frozen since must not grant in the name of a past leadership.
 	if _, _, ok := s.o.Node.Leadership(); !ok {
 		return nil, s.notLeader()
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/fault"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
@@ -121,24 +122,45 @@
 	return &eelpb.Object{Kind: string(k), Name: name, Owner: systemOwner, Spec: b, Revision: revision}, nil
 }
 
-// PutRouting makes a routing durable with the document that it was read from.
-// One whose revision is not above the held one changes nothing.
-func (s *Server) PutRouting(ctx context.Context, r *model.Routing, document json.RawMessage) error {
+// PutRouting makes a routing and its workspaces durable with the document that they
+// were read from. One whose revision is not above the held one changes nothing.
+func (s *Server) PutRouting(ctx context.Context, r *model.Routing, spaces []model.Workspace, document json.RawMessage) error {
 	const op = "server.PutRouting"
 	o, err := object(model.ObjectRouting, model.RoutingName, uint64(r.Revision), r)
 	if err != nil {
 		return err
 	}
-	m := model.Object{Kind: model.ObjectRouting, Name: model.RoutingName, Owner: systemOwner, Spec: o.Spec}
-	if _, err := model.NewCatalogue(0, []model.Object{m}); err != nil {
-		return fault.New(op, KindInvalid, err)
-	}
 	d := &eelpb.Object{
 		Kind: string(model.ObjectDocument), Name: model.RoutingName, Owner: systemOwner,
 		Spec: document, Revision: uint64(r.Revision),
 	}
-	res, err := s.submit(ctx, &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{o, d}})
-	level.Info(s.o.Log).Log("msg", "routing submitted", "revision", uint64(r.Revision), "version", res.GetVersion(), "err", err)
+	q := &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{o, d}}
+	if r.Keyed {
+		q.Whole = []string{string(model.ObjectWorkspace)}
+	}
+	for _, w := range spaces {
+		x, err := object(model.ObjectWorkspace, string(w.Name), 0, w)
+		if err != nil {
+			return err
+		}
+		q.Objects = append(q.Objects, x)
+	}
+	if err := checkObjects(q.Objects); err != nil {
+		return fault.New(op, KindInvalid, err)
+	}
+	res, err := s.submit(ctx, q)
+	level.Info(s.o.Log).Log("msg", "routing submitted", "revision", uint64(r.Revision), "workspaces", len(spaces),
+		"version", res.GetVersion(), "err", err)
+	return err
+}
+
+// checkObjects checks that objects fit together.
+func checkObjects(objects []*eelpb.Object) error {
+	m := make([]model.Object, len(objects))
+	for i, o := range objects {
+		m[i] = state.ToModel(o)
+	}
+	_, err := model.NewCatalogue(0, m)
 	return err
 }
 
--- a/pkg/model/build.go
+++ b/pkg/model/build.go
@@ -49,10 +49,11 @@
 	Policies []Policy
 	Drains   []Drain
 	// Routing is nil before an operator has sent one.
-	Routing *Routing
-	Targets Targets
+	Routing    *Routing
+	Workspaces Workspaces
+	Targets    Targets
 
-	// placed are the objects other than targets and documents, by key.
+	// placed are the objects other than targets, workspaces and documents, by key.
 	placed map[string]Object
 	routes routeIndex
 	steps  []step
@@ -64,13 +65,14 @@
 	c := &Catalogue{Version: v, placed: map[string]Object{}}
 	seen := map[string]bool{}
 	t := newTargetsBuilder()
+	var w []Workspace
 	for _, o := range objects {
 		err := o.check()
 		if err == nil && seen[o.Key()] {
 			err = fmt.Errorf("object occurs twice")
 		}
 		if err == nil {
-			err = c.sort(o, t)
+			err = c.sort(o, t, &w)
 		}
 		if err != nil {
 			return nil, fault.Newf(op, KindInvalid, "%s: %v", o.Key(), err)
@@ -78,6 +80,10 @@
 		seen[o.Key()] = true
 	}
 	c.Targets = t.targets()
+	var err error
+	if c.Workspaces, err = c.Workspaces.with(w, nil); err != nil {
+		return nil, fault.New(op, KindInvalid, err)
+	}
 	if err := c.place(nil); err != nil {
 		return nil, fault.New(op, KindInvalid, err)
 	}
@@ -85,7 +91,7 @@
 }
 
 // sort puts an object where its kind belongs.
-func (c *Catalogue) sort(o Object, t targetsBuilder) error {
+func (c *Catalogue) sort(o Object, t targetsBuilder, w *[]Workspace) error {
 	switch o.Kind {
 	case ObjectDocument:
 		return nil
@@ -93,12 +99,16 @@
 		x, err := decodeTarget(o)
 		t.put(x)
 		return err
+	case ObjectWorkspace:
+		x, err := decodeWorkspace(o)
+		*w = append(*w, x)
+		return err
 	}
 	c.placed[o.Key()] = o
 	return nil
 }
 
-// place builds what the objects other than targets and documents say. A routing
+// place builds what the objects other than targets, workspaces and documents say. A routing
 // that an earlier catalogue has built from the same object is taken from there.
 func (c *Catalogue) place(earlier *Catalogue) error {
 	c.Owners, c.Regions, c.Domains = map[OwnerID]Owner{}, map[RegionID]Region{}, map[FailureDomainID]FailureDomain{}
--- a/pkg/model/delta.go
+++ b/pkg/model/delta.go
@@ -32,6 +32,8 @@
 	n := *c
 	n.Version = v
 	t, s := c.Targets.builder(), step{from: c.Version}
+	var spaces []Workspace
+	var spacesGone []WorkspaceID
 	var placed map[string]Object
 	changePlaced := func(key string, o *Object) {
 		if placed == nil {
@@ -55,14 +57,24 @@
 			}
 			t.put(x)
 			s.targets = append(s.targets, x.ID)
+		case ObjectWorkspace:
+			x, err := decodeWorkspace(o)
+			if err != nil {
+				return nil, fault.Newf(op, KindInvalid, "%s: %v", o.Key(), err)
+			}
+			spaces = append(spaces, x)
 		default:
 			changePlaced(o.Key(), &o)
 		}
 	}
 	for _, k := range removed {
-		if id, ok := targetOfKey(k); ok {
-			t.remove(id)
-			s.targets = append(s.targets, id)
+		if id, ok := nameOfKey(ObjectTarget, k); ok {
+			t.remove(TargetID(id))
+			s.targets = append(s.targets, TargetID(id))
+			continue
+		}
+		if id, ok := nameOfKey(ObjectWorkspace, k); ok {
+			spacesGone = append(spacesGone, WorkspaceID(id))
 			continue
 		}
 		if _, ok := c.placed[k]; ok {
@@ -70,6 +82,12 @@
 		}
 	}
 	n.Targets = t.targets()
+	if len(spaces)+len(spacesGone) > 0 {
+		var err error
+		if n.Workspaces, err = c.Workspaces.with(spaces, spacesGone); err != nil {
+			return nil, fault.New(op, KindInvalid, err)
+		}
+	}
 	if placed != nil {
 		n.placed = placed
 		if err := n.place(c); err != nil {
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -91,6 +91,8 @@
 	// ObjectDocument keeps a routing as its operator sent it, to be read back.
 	ObjectDocument ObjectKind = "document"
 	ObjectTarget   ObjectKind = "target"
+	// ObjectWorkspace is a Workspace of the routing.
+	ObjectWorkspace ObjectKind = "workspace"
 )
 
 // RoutingName names the routing and its document.
--- a/pkg/model/routing.go
+++ b/pkg/model/routing.go
@@ -18,6 +18,8 @@
 	Limits   RequestLimits   `json:"limits"`
 	Hosts    []VirtualHost   `json:"hosts"`
 	Services []RoutedService `json:"services"`
+	// Keyed says that callers need a key of a workspace, but on public routes.
+	Keyed bool `json:"keyed,omitempty"`
 }
 
 // RequestLimits bounds what a caller may send.
@@ -46,6 +48,8 @@
 	TimeoutMillis Millis `json:"timeoutMillis"`
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int `json:"priority"`
+	// Public says that callers need no key.
+	Public bool `json:"public,omitempty"`
 	// Affinity says that targets work faster on objects that they know.
 	Affinity bool `json:"affinity,omitempty"`
 	// MaxAttempts is to how many targets one attempt of a caller may be sent.
--- a/pkg/model/targets.go
+++ b/pkg/model/targets.go
@@ -71,28 +71,30 @@
 func (b targetsBuilder) remove(id TargetID) { *b.m = (*b.m).Delete(id) }
 func (b targetsBuilder) targets() Targets   { return Targets{*b.m} }
 
-// targetHasher hashes the names of targets by FNV-1a.
+// targetHasher hashes the names of targets.
 type targetHasher struct{}
 
+// Hash returns the hash of a name.
+func (targetHasher) Hash(id TargetID) uint32 { return fnv1a(string(id)) }
+
+// Equal tells whether two names are the same.
+func (targetHasher) Equal(a, b TargetID) bool { return a == b }
+
+// nameOfKey returns the name of the object of a kind that a key names.
+func nameOfKey(k ObjectKind, key string) (string, bool) {
+	return strings.CutPrefix(key, string(k)+"/")
+}
+
 const (
 	fnvOffset = 2166136261
 	fnvPrime  = 16777619
 )
 
-// Hash returns the hash of a name.
-func (targetHasher) Hash(id TargetID) uint32 {
+// fnv1a returns the FNV-1a hash of a name.
+func fnv1a(s string) uint32 {
 	h := uint32(fnvOffset)
-	for i := range len(id) {
-		h = (h ^ uint32(id[i])) * fnvPrime
+	for i := range len(s) {
+		h = (h ^ uint32(s[i])) * fnvPrime
 	}
 	return h
 }
-
-// Equal tells whether two names are the same.
-func (targetHasher) Equal(a, b TargetID) bool { return a == b }
-
-// targetOfKey returns the target that an object's key names.
-func targetOfKey(key string) (TargetID, bool) {
-	id, ok := strings.CutPrefix(key, string(ObjectTarget)+"/")
-	return TargetID(id), ok
-}
--- /dev/null
+++ b/pkg/model/workspace.go
@@ -0,0 +1,181 @@
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"iter"
+
+	"github.com/benbjohnson/immutable"
+)
+
+// WorkspaceID names a workspace.
+type WorkspaceID string
+
+// keyDigestBytes is how much of a SHA-256 a digest keeps: enough that nobody finds
+// another key with the same digest.
+const keyDigestBytes = 16
+
+// KeyDigest stands for a key where the key itself must not be known.
+type KeyDigest [keyDigestBytes]byte
+
+// DigestOf returns the digest of a key.
+func DigestOf(key string) KeyDigest {
+	s := sha256.Sum256([]byte(key))
+	return KeyDigest(s[:keyDigestBytes])
+}
+
+// MarshalText writes the digest in hexadecimal.
+func (d KeyDigest) MarshalText() ([]byte, error) { return hex.AppendEncode(nil, d[:]), nil }
+
+// UnmarshalText reads a digest in hexadecimal.
+func (d *KeyDigest) UnmarshalText(b []byte) error {
+	if hex.DecodedLen(len(b)) != keyDigestBytes {
+		return fmt.Errorf("a key digest has %d bytes, not %d", keyDigestBytes, hex.DecodedLen(len(b)))
+	}
+	_, err := hex.Decode(d[:], b)
+	return err
+}
+
+// Workspace is a group of callers that are known by their keys and share an allowance.
+type Workspace struct {
+	Name WorkspaceID `json:"-"`
+	// Keys are the digests of the keys that its callers send.
+	Keys []KeyDigest `json:"keys,omitempty"`
+	// Priority goes before that of the route; without it the route's counts.
+	Priority *int `json:"priority,omitempty"`
+	// Allowance bounds the requests of all its callers together.
+	Allowance Allowance `json:"allowance,omitzero"`
+	// HomeRegions are the only regions that may serve it; empty means all.
+	HomeRegions []RegionID `json:"homeRegions,omitempty"`
+}
+
+// Allowance is a rate of requests with a burst on top. A rate of 0 means no limit.
+type Allowance struct {
+	PerSecond float64 `json:"perSecond,omitempty"`
+	Burst     float64 `json:"burst,omitempty"`
+}
+
+// Limited tells whether the allowance bounds anything.
+func (a Allowance) Limited() bool { return a.PerSecond > 0 }
+
+func (w Workspace) check() error {
+	if w.Allowance.PerSecond < 0 || w.Allowance.Burst < 0 {
+		return fmt.Errorf("perSecond %g or burst %g is below 0", w.Allowance.PerSecond, w.Allowance.Burst)
+	}
+	return nil
+}
+
+func decodeWorkspace(o Object) (Workspace, error) {
+	x := Workspace{Name: WorkspaceID(o.Name)}
+	if err := decode(o, &x); err != nil {
+		return x, err
+	}
+	return x, x.check()
+}
+
+// Workspaces are the workspaces of a catalogue, by name and by key. Like Targets a
+// later catalogue shares those that did not change.
+type Workspaces struct {
+	byName *immutable.Map[WorkspaceID, Workspace]
+	byKey  *immutable.Map[KeyDigest, WorkspaceID]
+}
+
+// Get returns a workspace.
+func (w Workspaces) Get(id WorkspaceID) (Workspace, bool) {
+	if w.byName == nil {
+		return Workspace{}, false
+	}
+	return w.byName.Get(id)
+}
+
+// Of returns the workspace that holds a key.
+func (w Workspaces) Of(key KeyDigest) (Workspace, bool) {
+	if w.byKey == nil {
+		return Workspace{}, false
+	}
+	id, ok := w.byKey.Get(key)
+	if !ok {
+		return Workspace{}, false
+	}
+	return w.byName.Get(id)
+}
+
+// Len returns how many workspaces there are.
+func (w Workspaces) Len() int {
+	if w.byName == nil {
+		return 0
+	}
+	return w.byName.Len()
+}
+
+// All goes through the workspaces in no particular order.
+func (w Workspaces) All() iter.Seq2[WorkspaceID, Workspace] {
+	return func(yield func(WorkspaceID, Workspace) bool) {
+		if w.byName == nil {
+			return
+		}
+		for i := w.byName.Iterator(); !i.Done(); {
+			if id, x, _ := i.Next(); !yield(id, x) {
+				return
+			}
+		}
+	}
+}
+
+// with returns the workspaces after some were put and others removed. A key may
+// move from one of those to another.
+func (w Workspaces) with(put []Workspace, removed []WorkspaceID) (Workspaces, error) {
+	if w.byName == nil {
+		w.byName = immutable.NewMap[WorkspaceID, Workspace](workspaceHasher{})
+		w.byKey = immutable.NewMap[KeyDigest, WorkspaceID](digestHasher{})
+	}
+	for _, id := range removed {
+		w = w.without(id)
+	}
+	for _, x := range put {
+		w = w.without(x.Name)
+	}
+	for _, x := range put {
+		for _, k := range x.Keys {
+			if other, ok := w.byKey.Get(k); ok && other != x.Name {
+				return w, fmt.Errorf("workspaces %q and %q share a key", other, x.Name)
+			}
+			w.byKey = w.byKey.Set(k, x.Name)
+		}
+		w.byName = w.byName.Set(x.Name, x)
+	}
+	return w, nil
+}
+
+func (w Workspaces) without(id WorkspaceID) Workspaces {
+	old, ok := w.byName.Get(id)
+	if !ok {
+		return w
+	}
+	for _, k := range old.Keys {
+		w.byKey = w.byKey.Delete(k)
+	}
+	w.byName = w.byName.Delete(id)
+	return w
+}
+
+// workspaceHasher hashes the names of workspaces.
+type workspaceHasher struct{}
+
+// Hash returns the hash of a name.
+func (workspaceHasher) Hash(id WorkspaceID) uint32 { return fnv1a(string(id)) }
+
+// Equal tells whether two names are the same.
+func (workspaceHasher) Equal(a, b WorkspaceID) bool { return a == b }
+
+// digestHasher takes a part of a digest, which is random already.
+type digestHasher struct{}
+
+// Hash returns the hash of a digest.
+func (digestHasher) Hash(d KeyDigest) uint32 {
+	return uint32(d[0])<<24 | uint32(d[1])<<16 | uint32(d[2])<<8 | uint32(d[3])
+}
+
+// Equal tells whether two digests are the same.
+func (digestHasher) Equal(a, b KeyDigest) bool { return a == b }
