Credit allowances by what is free, ask in part, and go on at a level without an answer

Excluded: the ledger itself (the hot workspace alone was near its bound). Change: what is free is divided by what VMs want, up to four times that; an ask names only the workspaces in need; without an answer a VM goes on at its level; renewals wait longer after a failure.

--- a/cmd/eelplat/state.go
+++ b/cmd/eelplat/state.go
@@ -45,7 +45,7 @@
 	sv, err := server.New(server.Options{
 		Node: n, Key: d.key, AdminTokenHash: guard.HashToken(d.o.Key), Log: d.l, Addr: s.Internal, Peers: peers,
 		Places:    func() map[model.FailureDomainID]model.RegionID { return d.current().Places },
-		Heartbeat: s.Heartbeat, Allowances: s.Allowances(), PaceFor: paceFor(s),
+		Heartbeat: s.Heartbeat, Allowances: s.Allowances(), SilentFor: silentFor(s),
 	})
 	if err != nil {
 		return errors.Join(err, n.Close())
@@ -61,8 +61,8 @@
 	return errors.Join(err, d.endState(n, sv))
 }
 
-// paceFor is how long an entry without a lease goes on taking requests with keys.
-func paceFor(s *platform.Settings) time.Duration {
+// silentFor is how long an entry that reaches no leader takes requests with keys.
+func silentFor(s *platform.Settings) time.Duration {
 	if s.KeyLife > 0 {
 		return s.KeyLife
 	}
--- a/internal/entry/allow.go
+++ b/internal/entry/allow.go
@@ -21,6 +21,8 @@
 type asks struct {
 	mu sync.Mutex
 	at time.Duration
+	// reportedAt is when all uses were reported last.
+	reportedAt time.Duration
 }
 
 func (a *asks) due(now time.Duration) bool {
@@ -33,6 +35,18 @@
 	return true
 }
 
+// inPart tells whether a renewal comes so soon after a whole report that it need only
+// name the workspaces that need more credit.
+func (a *asks) inPart(now, every time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reportedAt > 0 && now < a.reportedAt+every*9/10 {
+		return true
+	}
+	a.reportedAt = now
+	return false
+}
+
 // ProvedAgo tells how long ago a leader's word proved that the catalogue was the
 // newest, counted from when it was asked for.
 func (x *Entry) ProvedAgo() (time.Duration, bool) {
@@ -82,10 +96,11 @@
 // Pace returns which part of the requests of a workspace were allowed of late.
 func (x *Entry) Pace(id model.WorkspaceID) float64 { return x.meter.Pace(id, x.now()) }
 
-// reportUses returns what the leader is told of the use of allowances.
-func (x *Entry) reportUses() []*eelpb.AllowanceUse {
+// reportUses returns what the leader is told of the use of allowances: all, or only
+// where more credit is needed.
+func (x *Entry) reportUses(asking bool) []*eelpb.AllowanceUse {
 	var out []*eelpb.AllowanceUse
-	for _, u := range x.meter.Report(x.now()) {
+	for _, u := range x.meter.Report(x.now(), asking) {
 		out = append(out, &eelpb.AllowanceUse{
 			Workspace: string(u.Workspace), Used: uint64(u.Used), Left: uint64(u.Left), Wanted: uint64(u.Wanted),
 		})
@@ -94,10 +109,10 @@
 }
 
 // takeCredits puts the leader's credits in force.
-func (x *Entry) takeCredits(credits []*eelpb.AllowanceCredit, until time.Duration) {
+func (x *Entry) takeCredits(credits []*eelpb.AllowanceCredit) {
 	list := make([]quota.Credit, len(credits))
 	for i, c := range credits {
-		list[i] = quota.Credit{Workspace: model.WorkspaceID(c.Workspace), Credit: int(c.Credit), Busy: c.Busy}
+		list[i] = quota.Credit{Workspace: model.WorkspaceID(c.Workspace), Credit: int(c.Credit), Busy: c.Busy, Level: int(c.Level)}
 	}
-	x.meter.Credit(list, until)
+	x.meter.Credit(list)
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,8 +51,11 @@
 const (
 	renewEvery   = 500 * time.Millisecond
 	renewTimeout = 400 * time.Millisecond
-	pullWait     = 20 * time.Second
-	retryPause   = 50 * time.Millisecond
+	// renewPatience is how many times that longer a renewal is waited for after others
+	// have failed: the VM's own link may be full.
+	renewPatience = 2
+	pullWait      = 20 * time.Second
+	retryPause    = 50 * time.Millisecond
 	// maxRetryPause is what the pauses grow to, half of a renewal interval, so that
 	// the entries do not keep replicas busy that are about to elect a leader.
 	maxRetryPause = 400 * time.Millisecond
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -19,7 +19,7 @@
 // renewLoop keeps the lease alive.
 func (x *Entry) renewLoop(ctx context.Context) error {
 	for failures := 0; ; {
-		again, ok := x.renewOnce(ctx)
+		again, ok := x.renewOnce(ctx, renewTimeout*time.Duration(1+min(failures, renewPatience)))
 		if ok {
 			failures = 0
 		} else {
@@ -40,11 +40,11 @@
 
 // renewOnce asks for one renewal and puts it in force. The lease counts from
 // before the request was sent. It returns when to renew again.
-func (x *Entry) renewOnce(ctx context.Context) (time.Duration, bool) {
+func (x *Entry) renewOnce(ctx context.Context, timeout time.Duration) (time.Duration, bool) {
 	x.noteLease()
 	q := x.renewal()
 	sent := x.now()
-	t, cancel := context.WithTimeout(ctx, renewTimeout)
+	t, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := x.state.renew(t, q)
 	if err != nil {
@@ -131,7 +131,8 @@
 	x.reportTargets(q)
 	q.HoldsDigest = x.last.holds.GetHoldsDigest()
 	q.Shares, q.Demands = x.limits.report(x.now())
-	q.Uses = x.reportUses()
+	q.UsesInPart = x.asks.inPart(x.now(), x.o.RenewEvery)
+	q.Uses = x.reportUses(q.UsesInPart)
 	x.pools.each(func(s model.ServiceID, p *pool.Pool) {
 		for _, id := range p.Held() {
 			q.Held = append(q.Held, string(id))
@@ -189,7 +190,7 @@
 	x.lease.length = time.Duration(r.LeaseMs) * time.Millisecond
 	x.lease.until = sent + x.lease.length
 	x.lease.provedAt, x.lease.proved = sent, true
-	x.takeCredits(r.Credits, x.lease.until)
+	x.takeCredits(r.Credits)
 	x.lease.grant = r.Grant
 	close(x.lease.granted)
 	x.lease.granted = make(chan struct{})
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -110,13 +110,13 @@
 		length: o.Length, vms: map[model.VMID]*vm{}, targets: map[model.TargetID]*target{},
 		shares: map[string]*resource{}, dir: newDirectory(epoch),
 	}
-	g.quietTo = now + g.Held()
+	g.quietTo = now + g.held()
 	g.grant = epoch << epochShift
 	return g
 }
 
-// Held is how long a grant may be relied on, by any clock.
-func (g *Grantor) Held() time.Duration {
+// held is how long a grant may be relied on, by any clock.
+func (g *Grantor) held() time.Duration {
 	return g.length + g.length/clockRateBound
 }
 
@@ -205,7 +205,7 @@
 	g.dirty = g.dirty || !ok || v.leaving != r.Leaving || v.domain != d
 	v.addr, v.domain, v.version, v.leaving = r.Addr, d, r.Version, r.Leaving
 	v.sites = r.Sites
-	v.expires = now + g.Held()
+	v.expires = now + g.held()
 	g.dir.put(v)
 	return v, nil
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -293,7 +293,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(r.Vms), 1)
 	q.Directory = r.Directory
-	r, err = g.Renew(q, c, g.Held())
+	r, err = g.Renew(q, c, g.held())
 	assert.NilError(t, err)
 	assert.DeepEqual(t, r.RemovedVms, []string{"b"})
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
@@ -9,72 +10,67 @@
 // LedgerOptions are the settings of a ledger.
 type LedgerOptions struct {
 	Bounds
-	// Lease is how long a VM may rely on a credit after its report, by any clock.
-	Lease time.Duration
-	// Beyond is how long after that a VM goes on at its pace.
-	Beyond time.Duration
+	// SilentFor is how long a VM takes requests that reports nothing.
+	SilentFor time.Duration
+	// Born is when the ledger began.
+	Born time.Duration
 }
 
 // Ledger is what the leader knows of the use of allowances. It is not safe for
 // concurrent use.
 type Ledger struct {
-	o        LedgerOptions
-	accounts map[model.WorkspaceID]*account
-	// named are the workspaces of the last report of each process.
-	named   map[holder]map[model.WorkspaceID]bool
-	sweptAt time.Duration
+	o         LedgerOptions
+	accounts  map[model.WorkspaceID]*account
+	processes map[holder]*process
+	sweptAt   time.Duration
 }
 
-// holder is one process of a VM.
+// holder names one process of a VM.
 type holder struct {
 	vm          model.VMID
 	incarnation uint64
 }
 
+// process is a VM's process, with the workspaces of which it used some.
+type process struct {
+	named map[model.WorkspaceID]bool
+	// at is when it reported, and end when all that it used is out of every window.
+	at, end time.Duration
+	// late says that it did not report in time.
+	late bool
+}
+
 // account is one workspace with the sums over its holds.
 type account struct {
-	holds              map[holder]*hold
+	holds              map[holder]hold
 	used, left, wanted int
 }
 
-// hold is what one process has used and was credited.
+// hold is what one process has used and was credited of a workspace.
 type hold struct {
-	used, left, wanted int
-	// at is when it reported, and end when what it used is out of every window.
-	at, end time.Duration
+	used, left, wanted, level int
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger(o LedgerOptions) *Ledger {
-	return &Ledger{o: o, accounts: map[model.WorkspaceID]*account{}, named: map[holder]map[model.WorkspaceID]bool{}}
+	return &Ledger{o: o, accounts: map[model.WorkspaceID]*account{}, processes: map[holder]*process{}, sweptAt: o.Born}
 }
 
 func (a *account) set(h holder, x hold) {
-	old, ok := a.holds[h]
-	if !ok {
-		old = &hold{}
-		a.holds[h] = old
-	}
+	old := a.holds[h]
 	a.used += x.used - old.used
 	a.left += x.left - old.left
 	a.wanted += x.wanted - old.wanted
-	*old = x
-}
-
-func (a *account) drop(h holder) {
-	if _, ok := a.holds[h]; ok {
-		a.set(h, hold{})
-		delete(a.holds, h)
-	}
+	a.holds[h] = x
 }
 
-// Renew takes a report of a process and returns its credits. Most tells how many
-// requests of a workspace may run in a window, or that it has no limit. While quiet,
-// another ledger's credits may be in use: each VM keeps its pace, and gets no more.
-func (l *Ledger) Renew(vm model.VMID, incarnation uint64, uses []Use, most func(model.WorkspaceID) (int, bool), now time.Duration, quiet bool) []Credit {
+// Renew takes a report of a process, whole or in part, and returns its credits. Most
+// tells how many requests of a workspace may run in a window, or that it has no limit.
+func (l *Ledger) Renew(vm model.VMID, incarnation uint64, uses []Use, part bool, most func(model.WorkspaceID) (int, bool), now time.Duration) []Credit {
 	l.sweep(now)
 	h := holder{vm, incarnation}
-	l.replace(h, now)
+	p := l.process(h, now)
+	p.at, p.end, p.late = now, now+l.o.SilentFor+l.o.window(), false
 	named := make(map[model.WorkspaceID]bool, len(uses))
 	var out []Credit
 	for _, u := range uses {
@@ -85,75 +81,108 @@
 		named[u.Workspace] = true
 		a, ok := l.accounts[u.Workspace]
 		if !ok {
-			a = &account{holds: map[holder]*hold{}}
+			a = &account{holds: map[holder]hold{}}
 			l.accounts[u.Workspace] = a
 		}
-		x := hold{
-			used: max(0, u.Used), left: max(0, u.Left), wanted: max(0, u.Wanted),
-			at: now, end: now + l.o.Lease + l.o.Beyond + l.o.window(),
-		}
+		x := hold{used: max(0, u.Used), left: max(0, u.Left), wanted: max(0, u.Wanted)}
 		a.set(h, x)
-		c := a.credit(x, n)
-		if quiet {
-			c = l.pace(x, u)
-		}
-		x.left = max(x.left, c.Credit)
+		c := l.credit(a, x, n, now)
+		x.left, x.level = max(x.left, c.Credit), c.Level
 		a.set(h, x)
 		c.Workspace = u.Workspace
 		out = append(out, c)
 	}
-	// What a process no longer names has left its window.
-	for id := range l.named[h] {
-		if !named[id] {
+	for id := range p.named {
+		switch {
+		case named[id]:
+		case part:
+			named[id] = true
+		default:
+			// What a process no longer names has left its window.
 			l.release(id, h)
 		}
 	}
-	l.named[h] = named
+	p.named = named
 	return out
 }
 
-// busyPart is the part of its most from which a workspace is busy: its VMs then wait
-// for their renewals, where otherwise one that needs more asks at once.
-const busyPart = 0.8
-
-// credit divides what is free among those who want it.
-func (a *account) credit(x hold, most int) Credit {
-	free := max(0, most-a.used-(a.left-x.left))
-	c := min(x.wanted, free)
-	if a.wanted > free {
-		c = min(c, (free*x.wanted+a.wanted-1)/a.wanted)
+// process returns the process of a report. A new one takes the place of those that the
+// VM had before.
+func (l *Ledger) process(h holder, now time.Duration) *process {
+	p, ok := l.processes[h]
+	if ok {
+		return p
 	}
-	return Credit{Credit: c, Busy: c < x.wanted && float64(a.used) >= busyPart*float64(most)}
-}
-
-// pace lets a VM go on as it did.
-func (l *Ledger) pace(x hold, u Use) Credit {
-	return Credit{Credit: max(u.Left, min(x.wanted, int(float64(x.used)*horizon.Seconds()/l.o.window().Seconds())))}
-}
-
-// replace ends the former process of a VM.
-func (l *Ledger) replace(h holder, now time.Duration) {
-	if _, ok := l.named[h]; ok {
-		return
-	}
-	for other := range l.named {
+	for other := range l.processes {
 		if other.vm == h.vm {
 			l.End(other.vm, other.incarnation, now)
 		}
 	}
+	p = &process{}
+	l.processes[h] = p
+	return p
+}
+
+const (
+	// busyPart is the part of its most from which a workspace is busy: its VMs then wait
+	// for their renewals, where otherwise one that needs more asks at once.
+	busyPart = 0.8
+	// spreadPart is the part of what is free that is credited. The rest is for VMs that
+	// come to need some.
+	spreadPart = 0.7
+	// spreadMost times what it wants is the most that a VM is credited.
+	spreadMost = 4
+	// levelPart is the part of the most that VMs without an answer use all together.
+	levelPart = 0.9
+	// gatherTime is how long a new ledger credits only what VMs had: all of them report
+	// within it.
+	gatherTime = time.Second
+	// settlePart is the part of the most that a new ledger credits while VMs that never
+	// reported to it may go on at their levels.
+	settlePart = 0.7
+	// lateAfter is how long after a report the VM is taken to have had no answer:
+	// sooner than the VM itself takes it so.
+	lateAfter = time.Second
+)
+
+// credit divides what is free among those who want it.
+func (l *Ledger) credit(a *account, x hold, most int, now time.Duration) Credit {
+	age := now - l.o.Born
+	if age < l.o.SilentFor+l.o.window() {
+		most = int(settlePart * float64(most))
+	}
+	free := max(0, most-a.used-(a.left-x.left))
+	part := min(spreadMost, spreadPart*float64(free)/float64(max(1, a.wanted)))
+	c := min(free, int(math.Ceil(float64(x.wanted)*part)))
+	if age < gatherTime {
+		c = min(x.wanted, int(float64(x.used)*horizon.Seconds()/l.o.window().Seconds()))
+	}
+	return Credit{
+		Credit: max(c, min(x.left, x.wanted)), Busy: c < x.wanted && float64(a.used) >= busyPart*float64(most),
+		Level: int(levelPart * float64(most) * float64(x.used) / float64(max(1, a.used))),
+	}
 }
 
 // End says that a process takes no more requests. What it used, and what it may have
 // used of its credits, counts for a window.
 func (l *Ledger) End(vm model.VMID, incarnation uint64, now time.Duration) {
 	h := holder{vm, incarnation}
-	for id := range l.named[h] {
-		if a, ok := l.accounts[id]; ok && a.holds[h] != nil {
-			x := *a.holds[h]
-			a.set(h, hold{used: x.used + x.left, at: x.at, end: min(x.end, now+l.o.window())})
+	p, ok := l.processes[h]
+	if !ok {
+		return
+	}
+	p.end = min(p.end, now+l.o.window())
+	l.each(h, p, func(x hold) hold { return hold{used: x.used + x.left} })
+	p.late = true
+}
+
+// each changes all holds of a process.
+func (l *Ledger) each(h holder, p *process, change func(hold) hold) {
+	for id := range p.named {
+		if a, ok := l.accounts[id]; ok {
+			a.set(h, change(a.holds[h]))
 		}
 	}
-	delete(l.named, h)
 }
 
 // release forgets a process at a workspace.
@@ -162,29 +191,31 @@
 	if !ok {
 		return
 	}
-	a.drop(h)
+	a.set(h, hold{})
+	delete(a.holds, h)
 	if len(a.holds) == 0 {
 		delete(l.accounts, id)
 	}
 }
 
-// sweep forgets processes that have been silent for so long that what they used, and
-// what they may have used since, is out of the window.
+// sweep counts the levels of processes that did not report in time, and forgets those
+// that have been silent for so long that what they used is out of every window.
 func (l *Ledger) sweep(now time.Duration) {
 	if now-l.sweptAt < slotLength {
 		return
 	}
 	l.sweptAt = now
-	for id, a := range l.accounts {
-		for h, x := range a.holds {
-			if now-x.at > l.o.Lease && x.left+x.wanted > 0 {
-				// Its credit is over, and may have been used; its pace counts on.
-				a.set(h, hold{used: x.used + x.left, at: x.at, end: x.end})
-			}
-			if now >= x.end {
+	for h, p := range l.processes {
+		if now >= p.end {
+			for id := range p.named {
 				l.release(id, h)
-				delete(l.named, h)
 			}
+			delete(l.processes, h)
+			continue
+		}
+		if !p.late && now-p.at > lateAfter {
+			p.late = true
+			l.each(h, p, func(x hold) hold { return hold{used: max(x.used+x.left, x.level)} })
 		}
 	}
 }
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -28,28 +28,36 @@
 	// rateSpan is the time over which a rise of demand is noticed.
 	rateSpan = time.Second
 	// unheardPart divides the most of a window, and the number of VMs, to give what a
-	// VM takes of a workspace before it was credited anything.
-	unheardPart = 8
+	// VM takes of a workspace before it was credited anything, and unheardLeast is the
+	// least of that.
+	unheardPart  = 4
+	unheardLeast = 2
+	// overdueAfter is how long after its last report that was answered a VM goes on at
+	// its level: a renewal was lost, and the ledger expects it.
+	overdueAfter = 1500 * time.Millisecond
 )
 
 // Meter counts what one VM uses. It is safe for concurrent use.
 type Meter struct {
 	mu     sync.Mutex
 	window time.Duration
-	until  time.Duration
-	m      map[model.WorkspaceID]*meter
+	// creditedAt is when the last report that was answered was made.
+	creditedAt time.Duration
+	reportedAt time.Duration
+	m          map[model.WorkspaceID]*meter
 }
 
 // meter is the state of one workspace.
 type meter struct {
 	used, asked count
-	// credit is what may be taken, and credited that there was one.
-	credit   int
-	credited bool
-	busy     bool
-	// since counts what was taken after the last report, and reported what it told.
-	since, reported int
-	reportedAt      time.Duration
+	// credit is what may be taken.
+	credit int
+	busy   bool
+	// asking says that a request found the credit used up.
+	asking bool
+	// since counts what was taken after the last report.
+	since      int
+	reportedAt time.Duration
 	// level is the most in a window once the lease is over.
 	level int
 }
@@ -71,8 +79,9 @@
 	}
 	x.asked.add(now)
 	x.used.advance(now)
-	v := x.verdict(now < m.until, max(1, most/(unheardPart*max(1, vms))))
+	v := x.verdict(now < m.creditedAt+overdueAfter, max(unheardLeast, most/(unheardPart*max(1, vms))))
 	if v != Taken {
+		x.asking = v == Ask
 		return v
 	}
 	x.used.add(now)
@@ -81,16 +90,17 @@
 	return Taken
 }
 
-// verdict decides on a request; unheard is what may be taken without a credit.
-func (x *meter) verdict(leased bool, unheard int) Verdict {
+// verdict decides on a request. Without an answer of late the level counts; unheard is
+// what may be taken without a credit.
+func (x *meter) verdict(answered bool, unheard int) Verdict {
 	switch {
-	case leased && x.credit > 0:
+	case answered && x.credit > 0:
 		return Taken
-	case !x.busy && !x.credited && x.used.sum < unheard:
+	case !x.busy && x.used.sum < unheard:
 		return Taken
-	case leased && !x.busy:
+	case answered && !x.busy:
 		return Ask
-	case !leased && x.used.sum < x.level:
+	case !answered && x.used.sum < x.level:
 		return Taken
 	}
 	return Denied
@@ -105,25 +115,30 @@
 		return
 	}
 	x.used.takeBack(at, now)
-	if x.credited && x.since > 0 && at >= x.reportedAt {
+	if x.since > 0 && at >= x.reportedAt {
 		x.credit++
 		x.since--
 	}
 }
 
-// Report returns the use of the workspaces of which there was any of late.
-func (m *Meter) Report(now time.Duration) []Use {
+// Report returns the use of the workspaces of which there was any of late, or only of
+// those that need more credit.
+func (m *Meter) Report(now time.Duration, asking bool) []Use {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.reportedAt = now
 	out := make([]Use, 0, len(m.m))
 	for id, x := range m.m {
+		if asking && !x.asking {
+			continue
+		}
 		x.used.advance(now)
 		x.asked.advance(now)
 		if x.used.sum == 0 && x.asked.sum == 0 {
 			delete(m.m, id)
 			continue
 		}
-		x.since, x.reported, x.reportedAt = 0, x.used.sum, now
+		x.since, x.reportedAt, x.asking = 0, now, false
 		out = append(out, Use{Workspace: id, Used: x.used.sum, Left: x.credit, Wanted: x.wanted(m.window, now)})
 	}
 	return out
@@ -140,19 +155,17 @@
 	return n
 }
 
-// Credit takes the leader's answer to the last report; the credits hold until the
-// lease is over.
-func (m *Meter) Credit(credits []Credit, until time.Duration) {
+// Credit takes the leader's answer to the last report.
+func (m *Meter) Credit(credits []Credit) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.until = until
+	m.creditedAt = m.reportedAt
 	for _, c := range credits {
 		x, ok := m.m[c.Workspace]
 		if !ok {
 			continue
 		}
-		x.credit, x.credited, x.busy = max(0, c.Credit-x.since), true, c.Busy
-		x.level = x.reported
+		x.credit, x.busy, x.level = max(0, c.Credit-x.since), c.Busy, c.Level
 	}
 }
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -8,17 +8,17 @@
 // VM whose credit is used up asks at once. So nothing is refused while the workspace
 // as a whole is within its allowance, and no VM needs to know of another.
 //
-// A VM whose lease is over goes on at the pace that it had: it takes no more in a
-// window than when it was last credited, and the ledger counts that as used until
-// the VM reports again or can act no more.
+// A VM whose reports are not answered goes on with its part of the allowance: the ledger divides
+// it by what each VM used, and counts the part as used until the VM reports again or
+// can act no more. A new leader gathers reports before it credits much.
 //
 // # Usage
 //
 //	m := quota.NewMeter(bounds)
 //	switch m.Take("w1", bounds.Most(allowance), now) { ... }
-//	uses := m.Report(now)
-//	credits := ledger.Renew("vm1", incarnation, uses, most, now)
-//	m.Credit(credits, leaseUntil)
+//	uses := m.Report(now, false)
+//	credits := ledger.Renew("vm1", incarnation, uses, false, most, now)
+//	m.Credit(credits)
 //
 // The package is pure: times and requests in, decisions out. It follows the leases
 // of Gray and Cheriton (1989) with counts in place of locks.
@@ -72,8 +72,11 @@
 type Credit struct {
 	Workspace model.WorkspaceID
 	Credit    int
-	// Busy says that less was granted than was wanted.
+	// Busy says that the workspace is near its allowance and that less was granted
+	// than was wanted.
 	Busy bool
+	// Level is how many requests the VM may take in a window while it has no answer.
+	Level int
 }
 
 // slotLength is how finely windows slide.
--- a/internal/server/credit.go
+++ b/internal/server/credit.go
@@ -25,7 +25,7 @@
 		w, _ := c.Workspaces.Get(id)
 		return s.o.Allowances.Most(w.Allowance), w.Allowance.Limited()
 	}
-	for _, x := range s.ledger.Renew(vm, q.Incarnation, uses, most, now, s.grantor.Quiet(now)) {
-		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy})
+	for _, x := range s.ledger.Renew(vm, q.Incarnation, uses, q.UsesInPart, most, now) {
+		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy, Level: uint64(x.Level)})
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -83,10 +83,10 @@
 	// Heartbeat is the time between two announcements of a target; without it
 	// targets announce themselves to the entries.
 	Heartbeat time.Duration
-	// Allowances say how those of workspaces are counted. PaceFor is how long after
-	// the end of its lease an entry goes on at its pace.
+	// Allowances say how those of workspaces are counted. SilentFor is how long an
+	// entry takes requests with keys that does not reach the leader.
 	Allowances quota.Bounds
-	PaceFor    time.Duration
+	SilentFor  time.Duration
 }
 
 // Server answers entries, replicas and operators.
@@ -184,7 +184,7 @@
 	if s.grantor == nil || s.term != t {
 		s.term = t
 		s.grantor = lease.New(lease.Options{Length: s.o.LeaseLength}, won, uint64(t))
-		s.ledger = quota.NewLedger(quota.LedgerOptions{Bounds: s.o.Allowances, Lease: s.grantor.Held(), Beyond: s.o.PaceFor})
+		s.ledger = quota.NewLedger(quota.LedgerOptions{Bounds: s.o.Allowances, SilentFor: s.o.SilentFor, Born: s.o.Node.Now()})
 	}
 	return s.grantor, s.catalogue, true
 }
