Keep entries of a drained failure domain in the directory

Change: a drain of a failure domain is of its targets; its entries stay listed on the platform. The project's own interface is as before.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -128,19 +128,20 @@
 		return c.JSON(http.StatusBadRequest, wire.Failure{Error: "region \"" + string(home) + "\" does not exist"})
 	}
 	a := wire.Entries{TTLMillis: model.Millis(x.o.ListLife.Milliseconds())}
-	a.Entries = x.rank(v.catalogue, home, c.RealIP())
+	a.Entries = x.rank(v.catalogue, home, c.RealIP(), false)
 	return c.JSON(http.StatusOK, a)
 }
 
-// rank lists the entries that stay, nearest to a region first, in an order of the caller's own.
-func (x *Entry) rank(c *model.Catalogue, home model.RegionID, caller string) []wire.Entry {
+// rank lists the entries that stay, nearest to a region first, in an order of the
+// caller's own. Entries of drained failure domains are among them only where asked for.
+func (x *Entry) rank(c *model.Catalogue, home model.RegionID, caller string, drained bool) []wire.Entry {
 	var out []wire.Entry
 	for _, r := range x.directory.reports() {
 		if r.VM.Leaving || r.VM.Id == string(x.o.ID) && x.leaving.Load() {
 			continue
 		}
 		d := model.FailureDomainID(r.VM.FailureDomain)
-		if c.Drained(d, "") {
+		if !drained && c.Drained(d, "") {
 			continue
 		}
 		out = append(out, wire.Entry{ID: model.VMID(r.VM.Id), Addr: r.VM.Addr, FailureDomain: d, Region: c.RegionOf(d)})
@@ -180,7 +181,7 @@
 		return nil
 	}
 	var out []string
-	for _, e := range x.rank(v.catalogue, v.catalogue.RegionOf(x.o.Domain), string(id)) {
+	for _, e := range x.rank(v.catalogue, v.catalogue.RegionOf(x.o.Domain), string(id), false) {
 		if e.ID != x.o.ID && len(out) < most {
 			out = append(out, e.Addr)
 		}
--- a/internal/entry/world.go
+++ b/internal/entry/world.go
@@ -19,13 +19,14 @@
 // Learn adds replicas that the settings name.
 func (x *Entry) Learn(replicas []string) { x.state.learn(replicas) }
 
-// Entries lists the entries that stay, nearest to a region first.
+// Entries lists the entries that stay, nearest to a region first. Those of a drained
+// failure domain go on: the drain is of the targets there.
 func (x *Entry) Entries(home model.RegionID) []wire.Entry {
 	c := x.Catalogue()
 	if c == nil {
 		return nil
 	}
-	return x.rank(c, home, "")
+	return x.rank(c, home, "", true)
 }
 
 // Neighbours returns the addresses of the other entries of this failure domain that stay.
