--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -56,9 +56,12 @@
 	FailureDomain model.FailureDomainID `json:"failureDomain"`
 	Version       model.Version         `json:"version"`
 	LeaseMillis   model.Millis          `json:"leaseMillis"`
-	Leaving       bool                  `json:"leaving"`
-	InFlight      int                   `json:"inFlight"`
-	Shares        []LinkStatus          `json:"shares"`
+	// ProofMillis is how long ago the leader proved that the version is the newest, or
+	// below 0 where it never did.
+	ProofMillis model.Millis `json:"proofMillis"`
+	Leaving     bool         `json:"leaving"`
+	InFlight    int          `json:"inFlight"`
+	Shares      []LinkStatus `json:"shares"`
 }
 
 // Status returns the entry's state.
@@ -70,6 +73,10 @@
 		ID: x.o.ID, FailureDomain: x.o.Domain, Version: x.config.version(), Leaving: x.leaving.Load(),
 		LeaseMillis: model.Millis(left.Milliseconds()), InFlight: x.pools.inFlight(),
 	}
+	s.ProofMillis = -1
+	if ago, ok := x.ProvedAgo(); ok {
+		s.ProofMillis = model.Millis(ago.Milliseconds())
+	}
 	shares, _ := x.limits.report(x.now())
 	for _, r := range shares {
 		s.Shares = append(s.Shares, LinkStatus{Resource: r.Resource, Share: r.Amount, Use: x.limits.get(r.Resource).Use(x.now())})
--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -26,6 +26,8 @@
 	Targets []lease.TargetStatus `json:"targets"`
 	Claims  int                  `json:"claims"`
 	Regions []regionStatus       `json:"regions"`
+	// Workspaces are those of which anything was used of late.
+	Workspaces []wire.WorkspaceUse `json:"workspaces,omitempty"`
 }
 
 // regionStatus is what a region has of targets.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{Version: s.Version, Claims: s.Claims}
+	d := &deployment{Version: s.Version, Claims: s.Claims, Workspaces: s.Workspaces}
 	if err := json.Unmarshal(s.Replica, &d.Replica); err != nil {
 		return nil, err
 	}
@@ -153,18 +155,24 @@
 	for _, r := range d.Regions {
 		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%t\n", r.Region, r.Targets, r.Ready, r.Slots, r.Drained)
 	}
-	fmt.Fprintln(w, "\nVM\tADDRESS\tFAILURE DOMAIN\tVERSION IN FORCE\tLEASE MS\tIN FLIGHT\tLEAVING")
+	fmt.Fprintln(w, "\nVM\tADDRESS\tFAILURE DOMAIN\tVERSION IN FORCE\tLEASE MS\tPROVED MS AGO\tIN FLIGHT\tLEAVING")
 	for _, v := range d.VMs {
 		if v.Status == nil {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%t\n", v.ID, v.Addr, v.FailureDomain, "?", "?", "?", v.Leaving)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%t\n", v.ID, v.Addr, v.FailureDomain, "?", "?", "?", "?", v.Leaving)
 			continue
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%t\n", v.ID, v.Addr, v.FailureDomain, v.Status.Version, v.Status.LeaseMillis, v.Status.InFlight, v.Leaving)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%t\n", v.ID, v.Addr, v.FailureDomain, v.Status.Version, v.Status.LeaseMillis, v.Status.ProofMillis, v.Status.InFlight, v.Leaving)
 	}
 	fmt.Fprintln(w, "\nTARGET\tSERVICE\tFAILURE DOMAIN\tSLOTS\tOWNER\tREADY\tDRAINING")
 	for _, t := range d.Targets {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%t\t%t\n", t.ID, t.Service, t.FailureDomain, t.Slots, t.Owner, t.Ready, t.Draining)
 	}
+	if len(d.Workspaces) > 0 {
+		fmt.Fprintln(w, "\nWORKSPACE\tUSED IN A WINDOW\tMAY RUN\tCREDITED\tVMS")
+		for _, x := range d.Workspaces {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", x.Workspace, x.Used, x.Most, x.Credited, x.VMs)
+		}
+	}
 	d.textShares(w)
 }
 
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -7,6 +7,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
@@ -41,6 +42,8 @@
 	if !s.o.Node.IsLeader() {
 		return s.misdirected(c)
 	}
+	// A document holds the keys of workspaces as their operator sent them.
+	o = slices.DeleteFunc(o, func(x model.Object) bool { return x.Kind == model.ObjectDocument })
 	return c.JSON(http.StatusOK, wire.Catalogue{Version: v, Objects: o})
 }
 
@@ -236,6 +239,7 @@
 		return err
 	}
 	a.Targets = t
+	a.Workspaces = s.uses()
 	return c.JSON(http.StatusOK, a)
 }
 
--- a/internal/server/credit.go
+++ b/internal/server/credit.go
@@ -1,9 +1,13 @@
 package server
 
 import (
+	"slices"
+	"strings"
+
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/quota"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
 
 // credit adds to a renewal's reply what the entry may take of the allowances that it
@@ -31,3 +35,16 @@
 		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy, Level: uint64(x.Level)})
 	}
 }
+
+// uses returns what operators see of allowances; the caller holds mu.
+func (s *Server) uses() []wire.WorkspaceUse {
+	var out []wire.WorkspaceUse
+	for _, x := range s.ledger.Accounts() {
+		w, _ := s.catalogue.Workspaces.Get(x.Workspace)
+		out = append(out, wire.WorkspaceUse{
+			Workspace: x.Workspace, Used: x.Used, Most: s.o.Allowances.Most(w.Allowance), Credited: x.Credited, VMs: x.VMs,
+		})
+	}
+	slices.SortFunc(out, func(a, b wire.WorkspaceUse) int { return strings.Compare(string(a.Workspace), string(b.Workspace)) })
+	return out
+}
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/fault"
 	"github.com/eelgrassroad/eelgrassroad/internal/guard"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
 	"golang.org/x/sync/errgroup"
@@ -224,3 +226,44 @@
 	commits := s.o.Node.Status().Commits - before
 	assert.Assert(t, commits <= targets/4, "%d commits for %d targets", commits, targets)
 }
+
+// A key that was withdrawn is in no catalogue of the version that renewals prove from
+// the confirmation on, however late a copy of the older order comes.
+func TestWithdrawnKey(t *testing.T) {
+	s := newServer(t)
+	ctx := context.Background()
+	put := func(rev model.Revision, keys ...string) {
+		w := model.Workspace{Name: "w", Allowance: model.Allowance{PerSecond: 5, Burst: 5}}
+		for _, k := range keys {
+			w.Keys = append(w.Keys, model.DigestOf(k))
+		}
+		assert.NilError(t, s.PutRouting(ctx, &model.Routing{Revision: rev, Keyed: true}, []model.Workspace{w}, []byte("{}")))
+	}
+	for end := time.Now().Add(5 * time.Second); s.o.Node.Machine().Object(model.ObjectFailureDomain, "a-1") == nil && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	put(1, "a", "b")
+	held, err := state.Advance(nil, s.o.Node.Machine().Delta(0))
+	assert.NilError(t, err)
+	put(3, "b")
+	put(1, "a", "b")
+	put(2, "a")
+	q := &eelpb.RenewRequest{Vm: "e1", Incarnation: 1, Addr: "127.0.0.1:1", FailureDomain: "a-1", Sequence: 1, Uses: []*eelpb.AllowanceUse{
+		{Workspace: "w", Used: 3, Wanted: 2}, {Workspace: "gone", Used: 3, Wanted: 2},
+	}}
+	r, err := (stateService{s}).Renew(ctx, q)
+	assert.NilError(t, err)
+	assert.Assert(t, r.Version > uint64(held.Version), "the proof is of the former catalogue")
+	assert.Equal(t, len(r.Credits), 1)
+	c, err := state.Advance(held, s.o.Node.Machine().Delta(uint64(held.Version)))
+	assert.NilError(t, err)
+	assert.Equal(t, uint64(c.Version), r.Version)
+	_, ok := c.Workspaces.Of(model.DigestOf("a"))
+	assert.Assert(t, !ok, "the withdrawn key is there")
+	_, ok = c.Workspaces.Of(model.DigestOf("b"))
+	assert.Assert(t, ok, "the other key is not there")
+	shared := []model.Workspace{{Name: "x", Keys: []model.KeyDigest{model.DigestOf("k")}}, {Name: "y", Keys: []model.KeyDigest{model.DigestOf("k")}}}
+	err = s.PutRouting(ctx, &model.Routing{Revision: 9, Keyed: true}, shared, []byte("{}"))
+	assert.ErrorContains(t, err, "share a key")
+	assert.Assert(t, fault.Is(err, model.KindInvalid))
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -163,7 +163,10 @@
 	r.Header.Set(platform.Dialect.RequestID, id)
 	r.Header.Set(platform.Dialect.Object, strconv.Itoa(c.rnd.IntN(objects)))
 	r.Header.Set(platform.Dialect.Deadline, strconv.FormatInt(callerDeadline.Milliseconds(), 10))
-	c.s.w.sent(id, service, once)
+	key, space, withdrawn := c.key()
+	r.Header.Set(platform.Dialect.Authorization, "Bearer "+key)
+	r.Header.Set(platform.Dialect.Workspace, "of the caller's own")
+	c.s.w.sent(id, attempt{service: service, once: once, space: space, withdrawn: withdrawn})
 	began := c.s.w.now()
 	a, err := c.http.Do(r)
 	var b []byte
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -89,6 +89,7 @@
 		Name: m.name, IP: m.ip, Domain: s.domain(n), Places: s.places(), Internal: at(m.ip, internalPort), FirstStart: true,
 		MemoryMB: 256, Heartbeat: heartbeat, ListLife: 3 * time.Second, Grace: grace,
 		RetryRatio: retryRatio, RetryBurst: retryBurst, RetryWindow: retryWindow, RequestTime: 4 * time.Second,
+		KeyLife: keyLife, AllowanceWindow: allowanceWindow, AllowanceExcess: allowanceExcess, AllowanceSlack: allowanceSlack,
 	}
 	for i := range min(3, s.o.Replicas) {
 		m.settings.Seeds = append(m.settings.Seeds, at(s.ip(replicaHosts, i+1), controlPort))
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -38,6 +38,7 @@
 	// drained is the domain that is drained, and since when that was acknowledged.
 	drained   model.FailureDomainID
 	drainedAt time.Duration
+	history   history
 }
 
 // routing returns the routing of a revision: a route that only it has tells
@@ -68,10 +69,12 @@
 	o.sent += model.Revision(1 + rnd.IntN(3))
 	n := o.sent
 	o.mu.Unlock()
-	o.insist(ctx, rnd, func(c context.Context, addr string) error { return o.client.Put(c, addr, routing(n)) })
+	o.history.send(n)
+	o.insist(ctx, rnd, func(c context.Context, addr string) error { return o.client.Put(c, addr, routing(n), spaces(n)) })
 	if ctx.Err() != nil {
 		return
 	}
+	o.history.acknowledge(n, o.s.w.now())
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if n > o.acked {
@@ -130,8 +133,11 @@
 	addrs := o.s.control()
 	c, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	err := o.client.Put(c, addrs[rnd.IntN(len(addrs))], r)
+	err := o.client.Put(c, addrs[rnd.IntN(len(addrs))], r, spaces(n))
 	o.s.w.check(Checked, err != nil, "routing %d names an unknown service and was acknowledged", n)
+	shared := append(spaces(n), platform.Workspace{Name: "thief", Keys: []string{clubKey}})
+	err = o.client.Put(c, addrs[rnd.IntN(len(addrs))], routing(n), shared)
+	o.s.w.check(Checked, err != nil, "routing %d has two workspaces with one key and was acknowledged", n)
 }
 
 // drains empties one failure domain after the other.
@@ -267,7 +273,8 @@
 	q.Host = host
 	q.Header.Set(platform.Dialect.RequestID, id)
 	q.Header.Set(platform.Dialect.Deadline, strconv.FormatInt(orderTimeout.Milliseconds(), 10))
-	o.s.w.sent(id, lookupService, false)
+	q.Header.Set(platform.Dialect.Authorization, "Bearer "+crewKey)
+	o.s.w.sent(id, attempt{service: lookupService, space: crew})
 	r, err := client.Do(q)
 	if err != nil {
 		return 0
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -222,6 +222,7 @@
 	all, ok := allAfter-allBefore, okAfter-okBefore
 	s.w.check(Recovers, float64(ok) >= leastServed*float64(all), "%d of %d requests were served after the last harm", ok, all)
 	s.w.checkBudget([]model.ServiceID{lookupService, issueService})
+	s.w.checkAllowance()
 	s.checkAlive()
 }
 
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -231,7 +231,10 @@
 		return
 	}
 	defer func() { <-x.slots }()
-	x.w.ran(id, x.t.Service, run{x.t.ID, entry, x.w.now()})
+	x.w.ran(id, x.t.Service, run{
+		target: x.t.ID, entry: entry, at: x.w.now(),
+		space: model.WorkspaceID(r.Header.Get(d.Workspace)), key: r.Header.Get(d.Authorization) != "",
+	})
 	select {
 	case <-time.After(x.work(m, r.Header.Get(d.Object))):
 	case <-ctx.Done():
--- a/internal/soak/watch.go
+++ b/internal/soak/watch.go
@@ -15,25 +15,28 @@
 
 // The promises.
 const (
-	Once     Promise = "runs at most once"
-	NotRun   Promise = "told not run, it did not run"
-	Whole    Promise = "the whole answer to its own request"
-	Routed   Promise = "run by a service of its route"
-	Drained  Promise = "a leaving target gets no new work"
-	Heeded   Promise = "an entry that was told so by a target sends it nothing new"
-	Paused   Promise = "a target that asks for a pause gets one"
-	Emptied  Promise = "a drained failure domain gets no new work"
-	InForce  Promise = "a configuration is in force in time"
-	Forward  Promise = "no process goes back to an older configuration"
-	Read     Promise = "a read is not older than what was acknowledged"
-	Kept     Promise = "nothing acknowledged is lost"
-	Checked  Promise = "an invalid configuration is refused"
-	Uncut    Promise = "a planned stop cuts no request"
-	Budget   Promise = "second sends stay within the budget"
-	Cool     Promise = "a cold target gets no more than it stands"
-	Alive    Promise = "no process ends by itself"
-	Stops    Promise = "a planned stop ends in time"
-	Recovers Promise = "requests are served again when all are back"
+	Once      Promise = "runs at most once"
+	NotRun    Promise = "told not run, it did not run"
+	Whole     Promise = "the whole answer to its own request"
+	Routed    Promise = "run by a service of its route"
+	Drained   Promise = "a leaving target gets no new work"
+	Heeded    Promise = "an entry that was told so by a target sends it nothing new"
+	Paused    Promise = "a target that asks for a pause gets one"
+	Emptied   Promise = "a drained failure domain gets no new work"
+	InForce   Promise = "a configuration is in force in time"
+	Forward   Promise = "no process goes back to an older configuration"
+	Read      Promise = "a read is not older than what was acknowledged"
+	Kept      Promise = "nothing acknowledged is lost"
+	Checked   Promise = "an invalid configuration is refused"
+	Uncut     Promise = "a planned stop cuts no request"
+	Budget    Promise = "second sends stay within the budget"
+	Cool      Promise = "a cold target gets no more than it stands"
+	Alive     Promise = "no process ends by itself"
+	Stops     Promise = "a planned stop ends in time"
+	Recovers  Promise = "requests are served again when all are back"
+	Named     Promise = "a target learns the workspace, and never the key"
+	Withdrawn Promise = "a withdrawn key is of no use in time"
+	Allowed   Promise = "a workspace does not exceed its allowance"
 )
 
 // Violation is a promise that did not hold.
@@ -53,16 +56,22 @@
 	target model.TargetID
 	entry  string
 	at     time.Duration
+	// space is the workspace that the target was told, and key says that it got a key.
+	space model.WorkspaceID
+	key   bool
 }
 
 // attempt is one request of a caller.
 type attempt struct {
-	service  model.ServiceID
-	once     bool
-	sentAt   time.Duration
-	toldNot  bool
-	arrivals []time.Duration
-	runs     []run
+	service model.ServiceID
+	space   model.WorkspaceID
+	// withdrawn says that the request came with a key that was withdrawn.
+	withdrawn bool
+	once      bool
+	sentAt    time.Duration
+	toldNot   bool
+	arrivals  []time.Duration
+	runs      []run
 }
 
 // span is a time in which a host was harmed.
@@ -152,10 +161,11 @@
 }
 
 // sent notes a request that a caller sends.
-func (w *watch) sent(id string, s model.ServiceID, once bool) {
+func (w *watch) sent(id string, a attempt) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.attempts[id] = &attempt{service: s, once: once, sentAt: w.now()}
+	a.sentAt = w.now()
+	w.attempts[id] = &a
 }
 
 // arrived notes a request at a target, whether or not it runs it.
@@ -187,6 +197,8 @@
 		return
 	}
 	a.runs = append(a.runs, r)
+	w.checkLocked(Named, r.space == a.space && !r.key, "request %s of workspace %s ran as %q, with a key: %t", id, a.space, r.space, r.key)
+	w.checkLocked(Withdrawn, !a.withdrawn, "request %s ran with a key that was withdrawn", id)
 	if a.once {
 		w.checkLocked(Once, len(a.runs) == 1, "request %s ran %d times: %v", id, len(a.runs), a.runs)
 		w.checkLocked(NotRun, !a.toldNot, "request %s ran at %s after its caller was told that it did not", id, r.target)
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -186,10 +186,24 @@
 
 // Status is what a replica tells operators.
 type Status struct {
-	Version    model.Version   `json:"version"`
-	Replica    json.RawMessage `json:"replica"`
-	VMs        []VM            `json:"vms,omitempty"`
-	Targets    json.RawMessage `json:"targets,omitempty"`
-	Claims     int             `json:"claims"`
-	ClaimBytes int64           `json:"claimBytes"`
+	Version model.Version   `json:"version"`
+	Replica json.RawMessage `json:"replica"`
+	VMs     []VM            `json:"vms,omitempty"`
+	Targets json.RawMessage `json:"targets,omitempty"`
+	// Workspaces are those of which anything was used of late.
+	Workspaces []WorkspaceUse `json:"workspaces,omitempty"`
+	Claims     int            `json:"claims"`
+	ClaimBytes int64          `json:"claimBytes"`
+}
+
+// WorkspaceUse is what the callers of a workspace used of its allowance.
+type WorkspaceUse struct {
+	Workspace model.WorkspaceID `json:"workspace"`
+	// Used counts the requests of the last window, Most those that may run in one,
+	// and Credited those that VMs may take without asking.
+	Used     int `json:"used"`
+	Most     int `json:"most"`
+	Credited int `json:"credited"`
+	// VMs is how many VMs used some.
+	VMs int `json:"vms"`
 }
