Tell objects that are known four times rarer, and spread the callers of VMs that have just started

Cause: entries of a busy failure domain told each other some 50 KB/s, a fifth of a link, most of it objects that all knew; after a loss of all, callers that were refused in the first second came back before an election was over and were refused again, the last time.

--- a/internal/front/access.go
+++ b/internal/front/access.go
@@ -107,6 +107,14 @@
 	return ok && ago < f.o.KeyLife-f.o.KeyLife/clockRateBound
 }
 
+const (
+	// firstProof is how long after its start a VM usually has its first proof where the
+	// replicas have started too: an election and a renewal.
+	firstProof = 2 * time.Second
+	// returnSpread is the time over which callers come back that were refused together.
+	returnSpread = 1500 * time.Millisecond
+)
+
 // untilProved is when a refused caller may try again: soon where this VM alone has lost
 // the leader, since others serve. A VM that has just started waits with all others if
 // the replicas have started too, and must not meet all callers at once when they are back.
@@ -114,7 +122,7 @@
 	if _, ok := f.o.World.ProvedAgo(); ok {
 		return comeBack
 	}
-	return time.Duration((0.5 + 2*unit(q.id)) * float64(untilKnown))
+	return max(comeBack, firstProof-f.now()) + time.Duration(unit(q.id)*float64(returnSpread))
 }
 
 // beyond refuses a request that its workspace's allowance does not cover. The more is
--- a/internal/front/access_test.go
+++ b/internal/front/access_test.go
@@ -165,6 +165,36 @@
 	}
 }
 
+// All processes have started again: those who are refused meanwhile come back after an
+// election, and not together. Where only this VM has lost the leader they come back soon.
+func TestCallersComeBackAfterARestartOfAll(t *testing.T) {
+	tests := []struct {
+		name        string
+		ago         time.Duration
+		least, most time.Duration
+	}{
+		{"just started", -1, firstProof - 200*time.Millisecond, firstProof + returnSpread},
+		{"cut off", 10 * time.Second, comeBack, comeBack},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := keyedWorld(t)
+			w.provedAgo, w.fresh, w.compared = tt.ago, false, true
+			f := newFront(w)
+			f.o.KeyLife = 5 * time.Second
+			early := 0
+			for i := range 100 {
+				d := f.untilProved(&request{id: strings.Repeat("x", i)})
+				assert.Assert(t, d >= tt.least && d <= tt.most, "%s", d)
+				if d < (tt.least+tt.most)/2 {
+					early++
+				}
+			}
+			assert.Assert(t, tt.least == tt.most || early > 25 && early < 75, "%d of 100 come back in the first half", early)
+		})
+	}
+}
+
 // The proof is checked once more after a request has waited for its target.
 func TestProofThatEndsInAQueue(t *testing.T) {
 	s := newStandIn(t, silence)
--- a/internal/front/dispatch.go
+++ b/internal/front/dispatch.go
@@ -208,7 +208,7 @@
 	if r.handled() && j.keyed {
 		t.warm.Note(j.key)
 	}
-	f.tell(j, t, r)
+	f.tell(j, t, r, knew)
 	if what := t.ended(r, f.now()); what != "" {
 		f.logTarget(j, t, r, what)
 	}
--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -25,9 +25,6 @@
 	// comeBack is when a caller may try again where no target can be used: by then
 	// announcements and routings that are on their way have come.
 	comeBack = 300 * time.Millisecond
-	// untilKnown is when a caller may try again where no routing is known: some
-	// time after all replicas have started again.
-	untilKnown = time.Second
 	// stopping is why requests are refused before the process ends.
 	stopping = "this VM is stopping"
 	// soonest is when a caller may try again where a target has room, or had it
@@ -104,7 +101,7 @@
 	case f.closed.Load():
 		return q.refusal(stopping, 0)
 	case !f.known():
-		return q.refusal("the routing may be out of date", comeBack)
+		return q.refusal("the routing may be out of date", f.untilProved(q))
 	}
 	q.version = c.Version
 	route, ok := c.Match(q.r.Host, q.r.URL.EscapedPath())
--- a/internal/front/sights.go
+++ b/internal/front/sights.go
@@ -55,14 +55,19 @@
 	at time.Duration
 }
 
-// tell shares what came of a send.
-func (f *Front) tell(j *job, t *target, r result) {
+// knownTold is how many times rarer than others an object is told that this VM knew to
+// be known at its target: the others know it too, but for those that have just started.
+const knownTold = 4
+
+// tell shares what came of a send; knew says that the target was known to know the
+// object before.
+func (f *Front) tell(j *job, t *target, r result, knew bool) {
 	if f.sights == nil {
 		return
 	}
 	x := sight.Report{
 		Target: t.seed, Unreached: r.faulty() && r.outcome == unreached, Failed: r.faulty() && r.outcome != unreached,
-		Handled: r.handled() && j.keyed, Loaded: r.loaded,
+		Handled: r.handled() && j.keyed && (!knew || rand.N(knownTold) == 0), Loaded: r.loaded,
 	}
 	if x.Handled {
 		x.Object = j.key
@@ -98,7 +103,7 @@
 	if r.Loaded && at > t.heardAt {
 		t.others, t.heardAt = max(0, float64(r.Load-t.inFlight)), at
 	}
-	if r.Handled {
+	if r.Handled || r.Loaded {
 		t.servedAt = max(t.servedAt, at)
 		if t.hearsay && at > t.failedAt {
 			t.failures, t.restUntil = 0, 0
