Split allowances from the front's world, and name the ledger's report

Cause: read as a newcomer: an interface of nine methods, a call with six arguments. Excluded: any change of behaviour.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -53,7 +53,7 @@
 	f := front.New(front.Options{
 		Sights: front.SightOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, World: x, Dialect: platform.Dialect, Log: d.l, Dial: dialer(d.o, s, targetDialTimeout),
-		KeyLife: s.KeyLife, AllowanceWindow: s.AllowanceWindow,
+		KeyLife: s.KeyLife, Allowances: x, AllowanceWindow: s.AllowanceWindow,
 		StaleFor: staleFor, FirstFresh: firstFresh, BeatEvery: s.Heartbeat, AnswerBytes: (s.MemoryMB << 20) / answerPart,
 		Budget: front.BudgetOptions{Ratio: s.RetryRatio * ratioPart, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
--- a/internal/front/access.go
+++ b/internal/front/access.go
@@ -90,8 +90,12 @@
 	case !f.keysHold():
 		return q.refusal(oldKeys, f.untilProved(q)), false
 	}
-	if !f.o.World.Allow(q.r.Context(), q.access.workspace) {
-		return q.beyond(f.o.World.Pace(q.access.workspace.Name), f.o.AllowanceWindow), false
+	a := f.o.Allowances
+	if a == nil {
+		return answer{}, true
+	}
+	if !a.Allow(q.r.Context(), q.access.workspace) {
+		return q.beyond(a.Pace(q.access.workspace.Name), f.o.AllowanceWindow), false
 	}
 	q.access.taken, q.access.takenAt = true, f.now()
 	return answer{}, true
@@ -139,7 +143,7 @@
 // settle gives back what was taken out of the allowance for a request that did not run.
 func (f *Front) settle(q *request) {
 	if q.access.taken && !q.p.mayHaveRun && q.outcome != left {
-		f.o.World.PutBack(q.access.workspace, f.now()-q.access.takenAt)
+		f.o.Allowances.PutBack(q.access.workspace, f.now()-q.access.takenAt)
 	}
 }
 
--- a/internal/front/access_test.go
+++ b/internal/front/access_test.go
@@ -204,7 +204,7 @@
 	q := fillQueue(t, f, w)
 	got := make(chan int, 1)
 	go func() { got <- askWith(f, "/once/x", "Authorization", "Bearer good").Code }()
-	waitFor(t, func() bool { _, n := queued(q); return n == 1 })
+	waitFor(t, func() bool { return queued(q) == 1 })
 	w.setProved(time.Minute)
 	q.done(fillers(q)[0], true, f.now())
 	assert.Equal(t, <-got, http.StatusServiceUnavailable)
@@ -219,7 +219,7 @@
 	q := fillQueue(t, f, w)
 	got := make(chan *httptest.ResponseRecorder, 1)
 	go func() { got <- askWith(f, "/once/x", "Authorization", "Bearer good") }()
-	waitFor(t, func() bool { _, n := queued(q); return n == 1 })
+	waitFor(t, func() bool { return queued(q) == 1 })
 	f.Flush()
 	a := <-got
 	assert.Equal(t, a.Code, http.StatusServiceUnavailable, a.Body)
@@ -296,10 +296,12 @@
 	return q.desk.Running()
 }
 
-func queued(q *queue) (running, waiting int) {
+// queued returns how many requests wait at a target.
+func queued(q *queue) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.desk.Load()
+	_, n := q.desk.Load()
+	return n
 }
 
 func waitFor(t *testing.T, f func() bool) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -52,6 +52,10 @@
 	// ProvedAgo tells how long ago it was certain that the catalogue is the newest,
 	// and whether it ever was.
 	ProvedAgo() (time.Duration, bool)
+}
+
+// Allowances bound the requests of workspaces over all VMs.
+type Allowances interface {
 	// Allow takes one request out of the allowance of a workspace, or tells that it
 	// may not run.
 	Allow(context.Context, model.Workspace) bool
@@ -68,6 +72,8 @@
 	World   World
 	Dialect Dialect
 	Log     log.Logger
+	// Allowances hold workspaces to theirs; without it nothing does.
+	Allowances Allowances
 	// Dial makes connections to targets. It should give up soon on a target that
 	// does not answer, and break connections that fall silent.
 	Dial setup.Dialer
--- a/internal/front/report.go
+++ b/internal/front/report.go
@@ -195,7 +195,8 @@
 func (f *Front) logAnswer(q *request, a answer, took time.Duration) {
 	fresh := f.o.World.Fresh()
 	level.Info(f.o.Log).Log("msg", "answered", "request", q.id, "route", q.route.Name, "service", q.service,
-		"workspace", q.access.workspace.Name, "object", q.object, "target", q.target, "status", a.status, "own", a.own, "outcome", q.outcome, "reason", q.reason,
+		"workspace", q.access.workspace.Name, "object", q.object, "target", q.target,
+		"status", a.status, "own", a.own, "outcome", q.outcome, "reason", q.reason,
 		"sent", q.p.sent, "tries", q.p.tries, "tookMillis", took.Milliseconds(), "waitedMillis", q.waited.Milliseconds(),
 		"allowedMillis", max(0, q.until-q.start).Milliseconds(), "version", uint64(q.version), "fresh", fresh)
 }
--- a/internal/quota/ledger.go
+++ b/internal/quota/ledger.go
@@ -64,16 +64,15 @@
 	a.holds[h] = x
 }
 
-// Renew takes a report of a process, whole or in part, and returns its credits. Most
-// tells how many requests of a workspace may run in a window, or that it has no limit.
-func (l *Ledger) Renew(vm model.VMID, incarnation uint64, uses []Use, part bool, most func(model.WorkspaceID) (int, bool), now time.Duration) []Credit {
+// Renew takes a report and returns the credits of its process.
+func (l *Ledger) Renew(r Report, most Most, now time.Duration) []Credit {
 	l.sweep(now)
-	h := holder{vm, incarnation}
+	h := holder{r.VM, r.Incarnation}
 	p := l.process(h, now)
 	p.at, p.end, p.late = now, now+l.o.SilentFor+l.o.window(), false
-	named := make(map[model.WorkspaceID]bool, len(uses))
+	named := make(map[model.WorkspaceID]bool, len(r.Uses))
 	var out []Credit
-	for _, u := range uses {
+	for _, u := range r.Uses {
 		n, limited := most(u.Workspace)
 		if !limited {
 			continue
@@ -98,7 +97,7 @@
 	for id := range p.named {
 		switch {
 		case named[id]:
-		case part:
+		case r.Part:
 			named[id] = true
 		default:
 			// What a process no longer names has left its window.
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -12,11 +12,11 @@
 type Verdict int
 
 const (
-	// Taken: the request may run.
+	// Taken requests may run.
 	Taken Verdict = iota
-	// Ask: the credit is used up, and the leader may have more.
+	// Ask means that the credit is used up, and that the leader may have more.
 	Ask
-	// Denied: the workspace has used its allowance.
+	// Denied requests are beyond the allowance.
 	Denied
 )
 
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -17,7 +17,7 @@
 //	m := quota.NewMeter(bounds)
 //	switch m.Take("w1", bounds.Most(allowance), now) { ... }
 //	uses := m.Report(now, false)
-//	credits := ledger.Renew("vm1", incarnation, uses, false, most, now)
+//	credits := ledger.Renew(quota.Report{VM: "vm1", Incarnation: n, Uses: uses}, most, now)
 //	m.Credit(credits)
 //
 // The package is pure: times and requests in, decisions out. It follows the leases
@@ -70,6 +70,19 @@
 	Level int
 }
 
+// Report is what a process of a VM tells of its use.
+type Report struct {
+	VM          model.VMID
+	Incarnation uint64
+	Uses        []Use
+	// Part says that uses holds only the workspaces that need more credit.
+	Part bool
+}
+
+// Most tells how many requests of a workspace may run in a window, or that it has no
+// limit.
+type Most func(model.WorkspaceID) (int, bool)
+
 // Credit is how many requests of a workspace a VM may take after its report.
 type Credit struct {
 	Workspace model.WorkspaceID
--- a/internal/quota/sim_test.go
+++ b/internal/quota/sim_test.go
@@ -102,7 +102,8 @@
 		v.answer, v.answerAt = nil, s.now+400*time.Millisecond
 		return
 	}
-	v.answer = s.ledger.Renew(model.VMID(fmt.Sprint(i)), v.incarnation, uses, part, s.most, s.now)
+	r := Report{VM: model.VMID(fmt.Sprint(i)), Incarnation: v.incarnation, Uses: uses, Part: part}
+	v.answer = s.ledger.Renew(r, s.most, s.now)
 	if v.answer == nil {
 		v.answer = []Credit{}
 	}
--- a/internal/server/credit.go
+++ b/internal/server/credit.go
@@ -21,18 +21,20 @@
 	if a.WantTargets {
 		return
 	}
-	uses := make([]quota.Use, len(q.Uses))
-	for i, u := range q.Uses {
-		uses[i] = quota.Use{
+	r := quota.Report{VM: vm, Incarnation: q.Incarnation, Part: q.UsesInPart}
+	for _, u := range q.Uses {
+		r.Uses = append(r.Uses, quota.Use{
 			Workspace: model.WorkspaceID(u.Workspace), Used: int(u.Used), Left: int(u.Left), Wanted: int(u.Wanted), Level: int(u.Level),
-		}
+		})
 	}
 	most := func(id model.WorkspaceID) (int, bool) {
 		w, _ := c.Workspaces.Get(id)
 		return s.o.Allowances.Most(w.Allowance), w.Allowance.Limited()
 	}
-	for _, x := range s.ledger.Renew(vm, q.Incarnation, uses, q.UsesInPart, most, now) {
-		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy, Level: uint64(x.Level)})
+	for _, x := range s.ledger.Renew(r, most, now) {
+		a.Credits = append(a.Credits, &eelpb.AllowanceCredit{
+			Workspace: string(x.Workspace), Credit: uint64(x.Credit), Busy: x.Busy, Level: uint64(x.Level),
+		})
 	}
 }
 
