--- a/internal/front/serve.go
+++ b/internal/front/serve.go
@@ -19,7 +19,7 @@
 	defaultBodyBytes = 64 << 20
 	// overrun is how much longer than the route's timeout a target may work where the
 	// caller waits on: an answer that is nearly ready is worth more than none.
-	overrun = 150 * time.Millisecond
+	overrun = 110 * time.Millisecond
 	// lateSlack is how long after the deadline the target's own last word is waited for.
 	lateSlack = 90 * time.Millisecond
 	// comeBack is when a caller may try again where no target can be used: by then
