--- a/internal/proxy/cluster_test.go
+++ b/internal/proxy/cluster_test.go
@@ -19,16 +19,28 @@
 	peerAddrs []string
 	// confirmedAgo is the confirmation age of the catalogue; below 0 it was never confirmed.
 	confirmedAgo time.Duration
-	mu           sync.Mutex
+	// mu guards c and confirmedAgo.
+	mu sync.Mutex
 	// allowed is how many requests of each workspace may still run; nil means no limit.
 	allowed map[model.WorkspaceID]int
 }
 
-func (w *fixedCluster) Catalogue() *model.Catalogue { return w.c }
-func (w *fixedCluster) Fresh() bool                 { return w.fresh }
-func (w *fixedCluster) VMCount(model.RegionID) int  { return w.vms }
-func (w *fixedCluster) MajorityRead() bool          { return w.majorityRead }
-func (w *fixedCluster) PeerAddrs() []string         { return w.peerAddrs }
+func (w *fixedCluster) Catalogue() *model.Catalogue {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.c
+}
+
+func (w *fixedCluster) setCatalogue(c *model.Catalogue) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.c = c
+}
+
+func (w *fixedCluster) Fresh() bool                { return w.fresh }
+func (w *fixedCluster) VMCount(model.RegionID) int { return w.vms }
+func (w *fixedCluster) MajorityRead() bool         { return w.majorityRead }
+func (w *fixedCluster) PeerAddrs() []string        { return w.peerAddrs }
 func (w *fixedCluster) ConfirmationAge() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
