Check a target directly before the send, and remember what it announced

Cause: the decision to send was made before the slow steps. A request was checked against the target's record as of the last request that the entry had received, and then waited up to 250 ms for a connection. A target that the catalogue listed no more, that had restarted, or whose failure domain was drained kept its old value, still marked ready, for all requests in its queue. And a target that the catalogue missed for a while came back as a new value, without the leave or the pause it had announced.

Change: one check (permit) on the newest catalogue, before the send and again once the connection is established; a target that goes out of service by any way says so in its value and reroutes the requests that wait for it; the values of targets that the catalogue lists no more are kept for a minute and used again for the same incarnation. The check of keys and of a stop moved into permit too, as they had the same gap.

Why it works: nothing slow lies between the check and the write, and a value lives as long as the incarnation may.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -39,6 +39,9 @@
 	headers           Headers
 	access            access
 	reservation       *memoryReservation
+	// permit is called once a connection is established; if it returns a reason, the request is
+	// not sent.
+	permit func() string
 }
 
 // conns holds the connections to one target. Each carries one request at a time.
@@ -118,6 +121,13 @@
 	})
 }
 
+// open lets connections be kept again after close.
+func (c *conns) open() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = false
+}
+
 func (c *conns) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -157,7 +167,10 @@
 		return result{outcome: unreached, reason: "target not reached: " + err.Error()}
 	}
 	stop := context.AfterFunc(ctx, func() { x.Close() })
-	r, keep := x.exchange(q)
+	r, keep := result{outcome: refused}, true
+	if r.reason = q.permit(); r.reason == "" {
+		r, keep = x.exchange(q)
+	}
 	if stop() && keep {
 		c.put(x)
 	} else {
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -128,7 +128,7 @@
 		return result{outcome: refused, reason: why}
 	}
 	if next == reroute {
-		return result{outcome: refused, rerouted: true, reason: "the target takes no more requests"}
+		return result{outcome: refused, rerouted: true, reason: reasonNotAccepting}
 	}
 	from := p.now()
 	r, wasWarm := p.exchange(ctx, j, t)
@@ -175,20 +175,36 @@
 	return max(1, int(math.Ceil(slotShareFactor*float64(slots)/float64(vms))))
 }
 
-// exchange sends a job to its target now.
-func (p *Proxy) exchange(ctx context.Context, j *job, t *target) (r result, wasWarm bool) {
-	from := p.now()
-	remaining := j.deadline - from
-	if remaining <= 0 || ctx.Err() != nil || !t.usable(from) {
-		return result{outcome: refused, reason: "the time was up, or the target left, before it started"}, false
+// permit checks a job directly before it is sent, against the newest catalogue: the target may have
+// left while the job waited for a slot or a connection. It returns why the job must not be sent.
+func (p *Proxy) permit(j *job, t *target) string {
+	if c := p.o.Cluster.Catalogue(); c != nil {
+		p.registry.update(c)
+	}
+	if !t.accepting(p.now()) {
+		return reasonNotAccepting
 	}
 	select {
 	case <-p.dispatchStopped:
-		return result{outcome: refused, reason: reasonStopping}, false
+		return reasonStopping
 	default:
 	}
 	if j.access.authenticated && !p.areKeysValid() {
-		return result{outcome: refused, reason: reasonKeysStale}, false
+		return reasonKeysStale
+	}
+	return ""
+}
+
+// exchange sends a job to its target now.
+func (p *Proxy) exchange(ctx context.Context, j *job, t *target) (r result, wasWarm bool) {
+	from := p.now()
+	remaining := j.deadline - from
+	reason := p.permit(j, t)
+	switch {
+	case reason != "":
+		return result{outcome: refused, reason: reason, rerouted: reason == reasonNotAccepting}, false
+	case remaining <= 0 || ctx.Err() != nil || !t.usable(from):
+		return result{outcome: refused, reason: "the time was up, or the target was ejected, before it started"}, false
 	}
 	if j.delivery == model.AtMostOnce {
 		// A started request is completed even if the caller disconnects, since the caller may ask
@@ -203,7 +219,9 @@
 	r = t.conns.exchange(ctx, call{
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
 		id: j.id, target: t.id, remaining: remaining, headers: p.o.Headers, access: j.access, reservation: j.reservation,
+		permit: func() string { return p.permit(j, t) },
 	})
+	r.rerouted = r.reason == reasonNotAccepting
 	r.aborted = ctx.Err() != nil
 	if r.outcome == unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome, r.reason = timedOut, "no answer before the deadline"
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -170,7 +170,10 @@
 	}
 	p.registry.init(o, p.now)
 	p.retryBudgets = retryBudgets{o: o.Budget, m: map[model.ServiceID]*limit.Ratio{}}
-	p.g.Every(sweepInterval, func(context.Context) { p.registry.sweep(time.Now()) })
+	p.g.Every(sweepInterval, func(context.Context) {
+		p.registry.sweep(time.Now())
+		p.registry.dropRetired()
+	})
 	if o.Gossip.Conn != nil {
 		p.gossiper = gossip.New(gossip.Options{
 			Conn: o.Gossip.Conn, Key: o.Gossip.Key, Self: o.Gossip.Self, Peers: o.Cluster.PeerAddrs, Receive: p.receive, Log: o.Log,
--- a/internal/proxy/registry.go
+++ b/internal/proxy/registry.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,8 +22,21 @@
 	targetsByHash map[place.TargetHash]*target
 	services      map[model.ServiceID]*servicePool
 	drained       map[model.FailureDomainID]bool
+	// retired holds the targets that the catalogue lists no more. A target may only have been
+	// silent; what it announced to this VM is still valid when it is listed again.
+	retired map[model.TargetID]retiredTarget
 }
 
+// retiredTarget is a target that the catalogue has not listed since at.
+type retiredTarget struct {
+	*target
+	at time.Duration
+}
+
+// retiredTTL is how long a target that the catalogue lists no more is kept: a target that has lost
+// its heartbeats for longer has ended.
+const retiredTTL = time.Minute
+
 // servicePool holds the targets of a service that are ready and not drained.
 type servicePool struct {
 	list  []*target
@@ -58,6 +72,7 @@
 	r.o, r.now = o, now
 	r.targetsByHash = map[place.TargetHash]*target{}
 	r.byID, r.services = map[model.TargetID]*target{}, map[model.ServiceID]*servicePool{}
+	r.retired = map[model.TargetID]retiredTarget{}
 }
 
 // read calls a function with the pool of a service's ready targets. The function must not keep
@@ -129,16 +144,25 @@
 	if !ok {
 		delete(r.byID, id)
 		delete(r.targetsByHash, place.HashTarget(string(id)))
-		old.close()
+		if old != nil {
+			old.retire()
+			r.retired[id] = retiredTarget{old, now}
+		}
 		return
 	}
+	if old == nil {
+		old = r.retired[id].target
+	}
+	delete(r.retired, id)
 	x := r.reuseOrCreate(old, m, now)
-	if old != x {
-		old.close()
+	if old != nil && old != x {
+		old.retire()
 	}
 	x.region = c.RegionOf(m.FailureDomain)
 	r.byID[id], r.targetsByHash[x.hash] = x, x
-	if m.State == model.TargetReady && !c.Drained(m.FailureDomain, id) {
+	inService := m.State == model.TargetReady && !c.Drained(m.FailureDomain, id)
+	x.setInService(inService)
+	if inService {
 		r.servicePool(m.Service).add(x, m.Slots)
 	}
 }
@@ -171,6 +195,7 @@
 		x.conns.init(r.o, m.Addr)
 		return x
 	}
+	old.conns.open()
 	old.mu.Lock()
 	defer old.mu.Unlock()
 	if m.ColdMillis > 0 && m.ColdMillis != old.record.ColdMillis {
@@ -192,6 +217,13 @@
 	}
 }
 
+// dropRetired drops the targets that were retired long ago.
+func (r *registry) dropRetired() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.retired, func(_ model.TargetID, x retiredTarget) bool { return r.now() >= x.at+retiredTTL })
+}
+
 func (r *registry) close() {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -26,6 +26,9 @@
 	// retryDelay is the Retry-After if no target can be used: by then announcements and routings
 	// in transit have arrived.
 	retryDelay = 300 * time.Millisecond
+	// reasonNotAccepting is the reason for not sending a request to a target that has left, pauses,
+	// or is out of service.
+	reasonNotAccepting = "the target takes no more requests"
 	// reasonStopping is the reason for rejecting requests before the process ends.
 	reasonStopping = "this VM is stopping"
 	// minRetryAfter is the Retry-After if a target has capacity, or had it until just now: two
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -55,6 +55,9 @@
 	peerFailure peerFailure
 	// addressTaken means that another target responded at the address.
 	addressTaken bool
+	// outOfService means that the catalogue lists the target no more, or not as ready, or that its
+	// failure domain is drained.
+	outOfService bool
 	// leavingAt is when the target announced to this VM that it leaves, or 0. A restarted
 	// target is represented by a new value.
 	leavingAt time.Duration
@@ -69,16 +72,37 @@
 func (t *target) usable(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.record.State != model.TargetReady || t.addressTaken || t.leavingAt != 0 {
-		return false
-	}
-	if now < max(t.coldUntil, t.ejectedUntil, t.pausedUntil) || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
+	if !t.isAccepting(now) || now < t.ejectedUntil || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
 		return false
 	}
 	// After an ejection, one request at a time tests whether the target works again.
 	return t.failures == 0 || t.inFlight == 0
 }
 
+// accepting reports whether the target is in service and accepts requests from this VM.
+func (t *target) accepting(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isAccepting(now)
+}
+
+// isAccepting is accepting for a caller that holds the lock.
+func (t *target) isAccepting(now time.Duration) bool {
+	return t.record.State == model.TargetReady && !t.outOfService && !t.addressTaken && t.leavingAt == 0 &&
+		now >= max(t.coldUntil, t.pausedUntil)
+}
+
+// setInService records whether the catalogue lists the target for new requests. Requests that wait
+// for a target that goes out of service try other targets.
+func (t *target) setInService(ok bool) {
+	t.mu.Lock()
+	t.outOfService = !ok
+	t.mu.Unlock()
+	if !ok {
+		t.dispatcher.rerouteWaiting()
+	}
+}
+
 // load estimates the number of requests that run or wait at the target.
 func (t *target) load(now time.Duration) float64 {
 	t.mu.Lock()
@@ -194,11 +218,10 @@
 	t.coldUntil = max(t.coldUntil, at)
 }
 
-// close closes the connections to a target that is no longer used; t may be nil.
-func (t *target) close() {
-	if t != nil {
-		t.conns.close()
-	}
+// retire takes a target that the catalogue lists no more out of service.
+func (t *target) retire() {
+	t.setInService(false)
+	t.conns.close()
 }
 
 // sameIncarnation reports whether a record belongs to the same start of the target.
