--- a/internal/proxy/cluster_test.go
+++ b/internal/proxy/cluster_test.go
@@ -13,6 +13,8 @@
 	c     *model.Catalogue
 	fresh bool
 	vms   int
+	// rank is the place of this VM among all VMs.
+	rank int
 	// majorityRead means that other replicas had nothing newer.
 	majorityRead bool
 	// peerAddrs holds the addresses of other VMs.
