Keep to the limit that a target names for all VMs together

Cause: nothing read what a target says about the rate that it accepts. Of its class: a signal of a target that only counts as the sum over all VMs; a leave and a pause are kept by each VM for itself.

Change: limit.Shared divides a limit into whole requests in a sliding window of four seconds: each VM has an equal number, and the VMs that rank first by a hash of target and VM, taken from the leases' directory, one more. So no exchange is needed, and the sum stays within the limit while positions agree. With fewer requests than VMs, the first VM of each failure domain without a part sends a rare one at a random time, so that the domain learns of changes. VMs of a failure domain tell each other what a target named by gossip. A send is counted directly before it is written; a request without room goes to another target at once, or is refused with the time at which the first target accepts again. The limit lives in the target's value, so it survives a catalogue that misses the target and ends with its incarnation. An answer without a limit takes it back, only if its request was sent after the limit was last named, and only if the answer is the target's own.

TestSharedLimit holds the sum for 1 to 185 VMs and limits of 0.05 to 700 a second, and TestSharedLimitUnderChange while VMs join and leave.

--- a/internal/entry/cluster.go
+++ b/internal/entry/cluster.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/limit"
+	"github.com/eelgrassroad/eelgrassroad/internal/place"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
@@ -57,3 +59,33 @@
 		return region == "" || c.RegionOf(model.FailureDomainID(v.FailureDomain)) == region
 	})
 }
+
+// Position returns the position of this VM among the active ones, in an order that depends on a
+// key. A VM that the directory does not list, since it has just started or leaves, is the last.
+func (x *Entry) Position(key string) limit.Position {
+	hash := func(id model.VMID) place.Key { return place.HashObject(key, string(id)) }
+	self := hash(x.o.ID)
+	var at limit.Position
+	domains := map[string]bool{string(x.o.Domain): true}
+	listed := false
+	for _, r := range x.directory.reports() {
+		v := r.VM
+		if v.Leaving {
+			continue
+		}
+		at.VMs++
+		domains[v.FailureDomain] = true
+		listed = listed || v.Id == string(x.o.ID)
+		if v.Id != string(x.o.ID) && hash(model.VMID(v.Id)) < self {
+			at.Rank++
+			if v.FailureDomain == string(x.o.Domain) {
+				at.DomainRank++
+			}
+		}
+	}
+	at.Domains = len(domains)
+	if !listed {
+		at.Rank, at.VMs = at.VMs, at.VMs+1
+	}
+	return at
+}
--- a/internal/gossip/datagram.go
+++ b/internal/gossip/datagram.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
@@ -17,6 +18,14 @@
 	flagLoad
 	flagFailed
 	flagUnreachable
+	flagLimit
+)
+
+const (
+	// limitScale is the number of units of an encoded limit per request and second.
+	limitScale = 1000
+	// maxLimit bounds the encoded limit in a report.
+	maxLimit = 1 << 40
 )
 
 // maxLoad bounds the load in a report; a datagram with a higher one is malformed.
@@ -24,7 +33,8 @@
 
 // datagram is one message of a VM: the version, the sender's process id, a sequence number
 // and the reports. A report is the target's hash, flags, the age in milliseconds and,
-// where the flags say so, the load and the object.
+// where the flags say so, the load, the object and the limit. A build that does not know a flag
+// rejects the datagram.
 type datagram struct {
 	from     ProcessID
 	sequence uint64
@@ -56,6 +66,9 @@
 	if r.Unreachable {
 		flags |= flagUnreachable
 	}
+	if r.HasLimit {
+		flags |= flagLimit
+	}
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Target))
 	b = append(b, flags)
 	b = binary.AppendUvarint(b, uint64(max(0, r.Age.Milliseconds())))
@@ -65,6 +78,9 @@
 	if r.HasObject {
 		b = binary.BigEndian.AppendUint64(b, uint64(r.Object))
 	}
+	if r.HasLimit {
+		b = binary.AppendUvarint(b, uint64(min(maxLimit, math.Round(max(0, r.Limit)*limitScale))))
+	}
 	return b
 }
 
@@ -132,7 +148,7 @@
 	x := Report{Target: place.TargetHash(r.fixed64())}
 	flags := r.byte()
 	x.HasObject, x.HasLoad, x.Failed = flags&flagObject != 0, flags&flagLoad != 0, flags&flagFailed != 0
-	x.Unreachable = flags&flagUnreachable != 0
+	x.Unreachable, x.HasLimit = flags&flagUnreachable != 0, flags&flagLimit != 0
 	const maxAgeMillis = uint64(time.Hour / time.Millisecond)
 	x.Age = time.Duration(r.uvarint(maxAgeMillis)) * time.Millisecond
 	if x.HasLoad {
@@ -141,5 +157,8 @@
 	if x.HasObject {
 		x.Object = place.Key(r.fixed64())
 	}
+	if x.HasLimit {
+		x.Limit = float64(r.uvarint(maxLimit)) / limitScale
+	}
 	return x
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -56,6 +56,10 @@
 	Unreachable bool
 	// Failed means that the target broke off the request.
 	Failed bool
+	// Limit is the number of requests per second that the target accepts from all VMs together, or 0
+	// if it has no limit, if HasLimit.
+	Limit    float64
+	HasLimit bool
 	// Age is how long ago the observation was made.
 	Age time.Duration
 }
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -62,7 +62,7 @@
 	a := newAgent(t, conn1, &one, conn2, conn3)
 	newAgent(t, conn2, &two)
 	newAgent(t, conn3, &three)
-	r := Report{Target: 7, Object: 9, HasObject: true, Load: 4, HasLoad: true}
+	r := Report{Target: 7, Object: 9, HasObject: true, Load: 4, HasLoad: true, Limit: 1.9, HasLimit: true}
 	a.Add(r)
 	for i := 0; two.count()+three.count() < 2 && i < 100; i++ {
 		time.Sleep(10 * time.Millisecond)
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit limits rates with sliding windows, so that a distant observer sees
-// no more than the rate in any window of one second.
+// no more than the rate in any window of that length.
 //
 // # Usage
 //
@@ -10,6 +10,8 @@
 // A window is a little longer than a second: with varying delays, events that are
 // sent within one second may arrive within less.
 //
+// Shared is one VM's part of a limit that holds for all VMs together.
+//
 // Two further types limit retries to a fraction of the requests. RetryBudget is a token bucket:
 // it needs no clock and keeps unused tokens, up to a maximum, until a retry takes them. Use it
 // where requests of any age may pay for a retry. Ratio counts requests and retries in a sliding
@@ -24,14 +26,16 @@
 const (
 	bucketLength = 50 * time.Millisecond
 	buckets      = 24
-	// WindowLength is the length of a window.
+	// WindowLength is the length of a default window.
 	WindowLength = bucketLength * buckets
 )
 
-// Window counts what was taken in the last WindowLength. It is safe for concurrent use.
+// Window counts what was taken in the last 24 buckets. It is safe for concurrent use.
 type Window struct {
-	mu    sync.Mutex
-	limit int64
+	mu sync.Mutex
+	// bucket is the length of a bucket.
+	bucket time.Duration
+	limit  int64
 	// reserved is the reserved amount; it may be used at any time from now on.
 	reserved int64
 	used     [buckets]int64
@@ -43,9 +47,14 @@
 	demandAt time.Duration
 }
 
-// NewWindow returns a window with a limit of 0.
+// NewWindow returns a window of WindowLength with a limit of 0.
 func NewWindow() *Window {
-	return &Window{}
+	return &Window{bucket: bucketLength}
+}
+
+// newWindowOver returns a window with a limit of 0 that covers at least the given time.
+func newWindowOver(d time.Duration) *Window {
+	return &Window{bucket: max(1, (d+buckets-2)/(buckets-1))}
 }
 
 // SetLimit sets the maximum that may be taken in a window.
@@ -63,7 +72,7 @@
 }
 
 func (w *Window) advance(now time.Duration) {
-	at := int64(now / bucketLength)
+	at := int64(now / w.bucket)
 	if at-w.head >= buckets {
 		w.used, w.demand, w.sum, w.head = [buckets]int64{}, [buckets]int64{}, 0, at
 		return
@@ -150,12 +159,8 @@
 	return min(1, float64(w.sum+w.reserved)/float64(w.limit))
 }
 
-const (
-	// bucketsPerSecond is the number of buckets in a second.
-	bucketsPerSecond = int64(time.Second / bucketLength)
-	// demandTTL is how long after the last request the demand is at least 1.
-	demandTTL = 10 * time.Second
-)
+// demandTTL is how long after the last request the demand is at least 1.
+const demandTTL = 10 * time.Second
 
 // Demand returns what was requested in the last second, and at least 1 until
 // demandTTL after the last request.
@@ -164,7 +169,7 @@
 	defer w.mu.Unlock()
 	w.advance(now)
 	sum := int64(0)
-	for i := range bucketsPerSecond {
+	for i := range min(int64(time.Second/w.bucket), buckets) {
 		sum += w.demand[(w.head-i+buckets)%buckets]
 	}
 	if sum == 0 && w.demandAt > 0 && now < w.demandAt+demandTTL {
@@ -173,7 +178,7 @@
 	return sum
 }
 
-// Wait returns the time after which n may fit, at most WindowLength.
+// Wait returns the time after which n may fit, at most the length of the window.
 func (w *Window) Wait(n int64, now time.Duration) time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -181,11 +186,19 @@
 	free := w.limit - w.sum - w.reserved
 	for i := int64(1); i <= buckets; i++ {
 		if free >= n {
-			return time.Duration(i-1) * bucketLength
+			return time.Duration(i-1) * w.bucket
 		}
 		free += w.used[(w.head+i)%buckets]
 	}
-	return WindowLength
+	return buckets * w.bucket
+}
+
+// amountUsed returns what was taken in the window.
+func (w *Window) amountUsed(now time.Duration) int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(now)
+	return w.sum
 }
 
 // RetryBudget limits retries to a fraction of the requests (a token bucket). It is safe for
--- a/internal/opctl/held.go
+++ b/internal/opctl/held.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
@@ -80,15 +81,23 @@
 }
 
 func writeHeld(w io.Writer, list []heldTargets) {
-	fmt.Fprintln(w, "ENTRY\tTARGET\tWHY\tSINCE\tFOR")
+	fmt.Fprintln(w, "ENTRY\tTARGET\tWHY\tSINCE\tFOR\tPER SECOND")
 	for _, h := range list {
 		if h.Error != "" {
-			fmt.Fprintf(w, "%s\t-\t%s\t\t\n", h.Entry, h.Error)
+			fmt.Fprintf(w, "%s\t-\t%s\t\t\t\n", h.Entry, h.Error)
 		}
 		for _, x := range h.Held {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", h.Entry, x.ID, x.Why, millis(x.SinceMillis), millis(x.ForMillis))
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", h.Entry, x.ID, x.Why, millis(x.SinceMillis), millis(x.ForMillis), perSecond(x.LimitPerSecond))
 		}
 	}
 }
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// perSecond formats a limit; there is none if it is 0.
+func perSecond(n float64) string {
+	if n == 0 {
+		return "-"
+	}
+	return strconv.FormatFloat(n, 'g', -1, 64)
+}
--- a/internal/opctl/held_test.go
+++ b/internal/opctl/held_test.go
@@ -14,7 +14,7 @@
 
 func TestHeld(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, `{"eelplat":{"front":{"held":[{"id":"i-1","why":"leaves","sinceMillis":1500},{"id":"i-2","why":"pauses","sinceMillis":200,"forMillis":1800}]}}}`)
+		fmt.Fprint(w, `{"eelplat":{"front":{"held":[{"id":"i-1","why":"leaves","sinceMillis":1500},{"id":"i-2","why":"pauses","sinceMillis":200,"forMillis":1800},{"id":"i-3","why":"limits","sinceMillis":700,"limitPerSecond":2.3}]}}}`)
 	}))
 	defer s.Close()
 	up, down := strings.TrimPrefix(s.URL, "http://"), "127.0.0.1:1"
@@ -24,7 +24,7 @@
 		exit int
 		want []string
 	}{
-		{"text", []string{"held", up}, setup.ExitOK, []string{"i-1", "leaves", "1.5s", "i-2", "pauses", "1.8s"}},
+		{"text", []string{"held", up}, setup.ExitOK, []string{"i-1", "leaves", "1.5s", "i-2", "pauses", "1.8s", "i-3", "limits", "2.3"}},
 		{"json", []string{"-o", "json", "held", up}, setup.ExitOK, []string{`"why": "leaves"`, `"forMillis": 1800`}},
 		{"one entry unreachable", []string{"held", up, down}, setup.ExitOK, []string{"i-1", "refused"}},
 		{"no address", []string{"held"}, setup.ExitUsage, nil},
--- a/internal/proxy/choose.go
+++ b/internal/proxy/choose.go
@@ -59,18 +59,18 @@
 	return len(homes) == 0 || slices.Contains(homes, region)
 }
 
-// shortestPause returns the shortest remaining pause among the targets of a request, or 0 if no
-// target is paused.
-func (p *Proxy) shortestPause(q *request, c *model.Catalogue) time.Duration {
-	now, shortest, paused := p.now(), maxPause, false
+// shortestHold returns after how long the first of the paused or limited targets of a request
+// accepts requests again, or 0 if there is none.
+func (p *Proxy) shortestHold(q *request, c *model.Catalogue) time.Duration {
+	now, shortest, held := p.now(), maxPause, false
 	p.registry.read(c, q.service, func(r *servicePool) {
 		for _, t := range r.list {
-			if d := t.pausedFor(now); d > 0 && q.isAllowedIn(t.region) {
-				shortest, paused = min(shortest, d), true
+			if d := t.heldFor(now); d > 0 && q.isAllowedIn(t.region) {
+				shortest, held = min(shortest, d), true
 			}
 		}
 	})
-	if !paused {
+	if !held {
 		return 0
 	}
 	return shortest
--- a/internal/proxy/cluster_test.go
+++ b/internal/proxy/cluster_test.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 )
 
@@ -41,8 +42,11 @@
 
 func (w *fixedCluster) Fresh() bool                { return w.fresh }
 func (w *fixedCluster) VMCount(model.RegionID) int { return w.vms }
-func (w *fixedCluster) MajorityRead() bool         { return w.majorityRead }
-func (w *fixedCluster) PeerAddrs() []string        { return w.peerAddrs }
+func (w *fixedCluster) Position(string) limit.Position {
+	return limit.Position{Rank: w.rank, VMs: w.vms, DomainRank: w.rank, Domains: 1}
+}
+func (w *fixedCluster) MajorityRead() bool  { return w.majorityRead }
+func (w *fixedCluster) PeerAddrs() []string { return w.peerAddrs }
 func (w *fixedCluster) ConfirmationAge() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -47,6 +47,12 @@
 	wrongTarget bool
 	// leaving means that the target announced that it leaves.
 	leaving bool
+	// limit is the limit that the target names for all VMs, in requests per second, or 0 for none,
+	// if hasLimit.
+	limit    float64
+	hasLimit bool
+	// startedAt is when the send started.
+	startedAt time.Duration
 	// pause is how long the target wants no requests from this VM.
 	pause time.Duration
 	// aborted means that the proxy ended the send, so that the result says nothing about the
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -203,6 +203,8 @@
 	switch {
 	case reason != "":
 		return result{outcome: refused, reason: reason, rerouted: reason == reasonNotAccepting}, false
+	case t.heldFor(from) > 0:
+		return result{outcome: refused, reason: reasonNotAccepting, rerouted: true}, false
 	case remaining <= 0 || ctx.Err() != nil || !t.usable(from):
 		return result{outcome: refused, reason: "the time was up, or the target was ejected, before it started"}, false
 	}
@@ -219,9 +221,17 @@
 	r = t.conns.exchange(ctx, call{
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
 		id: j.id, target: t.id, remaining: remaining, headers: p.o.Headers, access: j.access, reservation: j.reservation,
-		permit: func() string { return p.permit(j, t) },
+		permit: func() string {
+			if reason := p.permit(j, t); reason != "" {
+				return reason
+			}
+			if !t.takeLimit(p.now()) {
+				return reasonNotAccepting
+			}
+			return ""
+		},
 	})
-	r.rerouted = r.reason == reasonNotAccepting
+	r.startedAt, r.rerouted = from, r.reason == reasonNotAccepting
 	r.aborted = ctx.Err() != nil
 	if r.outcome == unknown && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.outcome, r.reason = timedOut, "no answer before the deadline"
@@ -234,6 +244,7 @@
 	if what := t.sendEnded(r, p.now()); what != "" {
 		p.logTargetEvent(j, t, r, what)
 	}
+	p.reportLimit(t)
 	p.metrics.recordSend(r, took)
 	return r, wasWarm
 }
--- a/internal/proxy/gossip.go
+++ b/internal/proxy/gossip.go
@@ -80,6 +80,16 @@
 	}
 }
 
+// reportLimit gossips the limit of a target, or that it was taken back.
+func (p *Proxy) reportLimit(t *target) {
+	if p.gossiper == nil {
+		return
+	}
+	if n, age, ok := t.limitReport(p.now()); ok {
+		p.gossiper.Add(gossip.Report{Target: t.hash, Limit: n, HasLimit: true, Age: age})
+	}
+}
+
 // receive applies the reports of another VM.
 func (p *Proxy) receive(vm gossip.ProcessID, reports []gossip.Report) {
 	now := p.now()
@@ -100,6 +110,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	at := now - r.Age
+	if r.HasLimit && (r.Limit > 0 || t.limit.perSecond > 0) {
+		t.limit.update(r.Limit, at, now)
+	}
 	if r.HasLoad && at > t.loadAt {
 		t.peerLoad, t.loadAt = max(0, float64(r.Load-t.inFlight)), at
 	}
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -29,6 +29,9 @@
 	Load string
 	// Leaving, with value "1", means that the target leaves and accepts no new requests.
 	Leaving string
+	// Limit is the number of requests per second, a decimal number, that the target accepts from all
+	// VMs together; a response without it means that there is no limit.
+	Limit string
 	// Authorization carries the caller's key after the word Bearer (RFC 6750). It is not
 	// forwarded.
 	Authorization string
@@ -39,7 +42,7 @@
 // DefaultHeaders are the project's own header names.
 var DefaultHeaders = Headers{
 	RequestID: wire.HeaderRequestID, Deadline: wire.HeaderDeadline, Object: "Eel-Object",
-	Digest: "Eel-Digest", WantTarget: "Eel-Want-Target", NotRun: wire.HeaderShed, Load: "Eel-Load", Leaving: "Eel-Leaving",
+	Digest: "Eel-Digest", WantTarget: "Eel-Want-Target", NotRun: wire.HeaderShed, Load: "Eel-Load", Leaving: "Eel-Leaving", Limit: "Eel-Limit",
 	Authorization: "Authorization", Workspace: "Eel-Workspace",
 }
 
@@ -88,6 +91,27 @@
 	return time.Duration(min(s, maxPause.Seconds()) * float64(time.Second))
 }
 
+// parseLimit returns the limit that a response names, or 0 if it names none. A malformed limit says
+// nothing: ok is false.
+func (d Headers) parseLimit(h http.Header) (perSecond float64, ok bool) {
+	v := strings.TrimSpace(h.Get(d.Limit))
+	if v == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
+		return 0, false
+	}
+	return min(max(n, minNamedLimit), maxNamedLimit), true
+}
+
+const (
+	// minNamedLimit stands for limits that are lower, or 0: a target that gets no request at all
+	// could not take its limit back.
+	minNamedLimit = 0.001
+	maxNamedLimit = 1e6
+)
+
 // hopByHopHeaders apply to a single connection (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -100,7 +100,7 @@
 	Targets        int                       `json:"targets"`
 	UsableTargets  int                       `json:"usableTargets"`
 	CatalogueFresh bool                      `json:"catalogueFresh"`
-	// Held lists the targets that accept no requests from this VM, the first maxHeld by name.
+	// Held lists the targets that accept no requests, or only some, from this VM, the first maxHeld by name.
 	Held []HeldTarget `json:"held"`
 	// Gossip counts the datagrams between the VMs of the failure domain.
 	Gossip gossip.Counts `json:"sights"`
@@ -109,19 +109,22 @@
 // maxHeld is the maximum number of targets in Metrics.Held.
 const maxHeld = 64
 
-// HeldTarget is a paused or leaving target: it has announced a pause or that it leaves, and so
-// accepts no requests from this VM.
+// HeldTarget is a target that accepts no requests, or only some, from this VM: it has announced a
+// pause, a limit, or that it leaves.
 type HeldTarget struct {
 	ID model.TargetID `json:"id"`
-	// Why is "leaves" or "pauses".
+	// Why is "leaves", "pauses" or "limits".
 	Why string `json:"why"`
 	// SinceMillis is how long ago the target announced it.
 	SinceMillis int64 `json:"sinceMillis"`
-	// ForMillis is the remaining time of a pause.
+	// ForMillis is the remaining time of a pause, or until this VM may send a request within its part
+	// of a limit.
 	ForMillis int64 `json:"forMillis,omitempty"`
+	// LimitPerSecond is the limit for all VMs together.
+	LimitPerSecond float64 `json:"limitPerSecond,omitempty"`
 }
 
-// held returns the targets that accept no requests from this VM.
+// held returns the targets that accept no requests, or only some, from this VM.
 func (r *registry) held() []HeldTarget {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
@@ -147,6 +150,12 @@
 			ID: t.id, Why: eventPauses, SinceMillis: (now - t.pausedAt).Milliseconds(), ForMillis: (t.pausedUntil - now).Milliseconds(),
 		}, true
 	}
+	if t.limit.perSecond > 0 {
+		return HeldTarget{
+			ID: t.id, Why: eventLimits, SinceMillis: (now - t.limit.at).Milliseconds(),
+			ForMillis: t.limit.wait(now).Milliseconds(), LimitPerSecond: t.limit.perSecond,
+		}, true
+	}
 	return HeldTarget{}, false
 }
 
@@ -188,7 +197,7 @@
 // logTargetEvent logs what a target announced of itself.
 func (p *Proxy) logTargetEvent(j *job, t *target, r result, event string) {
 	level.Info(p.o.Log).Log("msg", "target "+event, "target", t.id, "by", "its answer", "request", j.id, "status", r.status,
-		"pauseMillis", r.pause.Milliseconds())
+		"pauseMillis", r.pause.Milliseconds(), "limitPerSecond", r.limit)
 }
 
 // logResponse logs the outcome of a request and what decided it.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -60,6 +60,9 @@
 	// VMCount returns the number of VMs that serve requests, including this one, in a region or, with
 	// an empty region, in all regions.
 	VMCount(model.RegionID) int
+	// Position returns the position of this VM among those that serve requests, in an order that
+	// depends on a key.
+	Position(key string) limit.Position
 	// PeerAddrs returns the addresses of the other VMs of this failure domain.
 	PeerAddrs() []string
 	// ConfirmationAge returns the time since the catalogue was last confirmed to be the newest,
--- a/internal/proxy/registry.go
+++ b/internal/proxy/registry.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/internal/place"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 )
@@ -193,6 +194,7 @@
 	if old == nil || !old.sameIncarnation(m) {
 		x := &target{id: m.ID, domain: m.FailureDomain, record: m, hash: place.HashTarget(string(m.ID)), coldUntil: cold, dispatcher: newDispatcher(m.Slots)}
 		x.conns.init(r.o, m.Addr)
+		x.limit.position = func() limit.Position { return r.o.Cluster.Position(string(m.ID)) }
 		return x
 	}
 	old.conns.open()
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -137,6 +137,9 @@
 	if !r.wrongTarget {
 		r.leaving = a.Header.Get(q.headers.Leaving) == leavingValue
 		r.pause = parsePause(a.StatusCode, a.Header)
+		r.limit, r.hasLimit = q.headers.parseLimit(a.Header)
+		// Only a response of the target itself takes back a limit.
+		r.hasLimit = r.hasLimit && (r.limit > 0 || r.outcome == notRun || a.Header.Get(q.headers.Digest) != "")
 	}
 	return r, id, reusable, nil
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -271,7 +271,7 @@
 		return q.unknownOutcome("no further target: " + q.reason)
 	}
 	in := q.retryDelay()
-	if d := p.shortestPause(q, c); d > in {
+	if d := p.shortestHold(q, c); d > in {
 		// Callers that retry at the same moment would cause the next burst.
 		in = d + time.Duration(float64(retryDelay)*hashFraction(q.id))
 	}
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -63,6 +63,8 @@
 	leavingAt time.Duration
 	// pausedAt and pausedUntil are the bounds of the last pause that the target asked for.
 	pausedAt, pausedUntil time.Duration
+	// limit is the limit that the target names for all VMs together.
+	limit namedLimit
 	// rampLimit is the maximum number of concurrent requests to a target after a pause; 0 means
 	// no limit.
 	rampLimit int
@@ -72,7 +74,7 @@
 func (t *target) usable(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isAccepting(now) || now < t.ejectedUntil || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
+	if !t.isAccepting(now) || now < t.ejectedUntil || t.limit.wait(now) > 0 || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
 		return false
 	}
 	// After an ejection, one request at a time tests whether the target works again.
@@ -155,11 +157,13 @@
 const (
 	eventLeaves = "leaves"
 	eventPauses = "pauses"
+	eventLimits = "limits"
 )
 
-// updateAvailability applies a leave or a pause that the target announced, and raises the limit
-// after a pause; the caller holds the lock.
+// updateAvailability applies a leave, a pause or a limit that the target announced, and raises the
+// number of concurrent requests after a pause; the caller holds the lock.
 func (t *target) updateAvailability(r result, now time.Duration) string {
+	limitChanged := t.updateLimit(r, now)
 	switch {
 	case r.leaving && t.leavingAt == 0:
 		t.leavingAt = max(1, now)
@@ -173,17 +177,21 @@
 			t.rampLimit = 0
 		}
 	}
+	if limitChanged {
+		return eventLimits
+	}
 	return ""
 }
 
-// pausedFor returns the remaining pause of the target, or 0 if it is not paused.
-func (t *target) pausedFor(now time.Duration) time.Duration {
+// heldFor returns how long the target accepts no requests from this VM since it pauses or this VM's
+// part of its limit is used up, or 0.
+func (t *target) heldFor(now time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.leavingAt != 0 || t.record.State != model.TargetReady {
 		return 0
 	}
-	return max(0, t.pausedUntil-now)
+	return max(0, t.pausedUntil-now, t.limit.wait(now))
 }
 
 // updateHealth updates the failures and the ejection of the target from the result of a send; the
