Reserve a limited target's requests before they wait for it

Cause: the limit was only taken directly before the send. Change: a request reserves its place in this VM's part before it waits, and is sent or returns it; a reservation counts in every window until then. The check before a send no longer repeats the limit.

Excluded: that a few limited targets cause the refusals.

The pressure in TestSharedLimit is now two requests a second of each VM, so that the VMs with a part use it; the bounds are the same.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -193,12 +193,17 @@
 	return buckets * w.bucket
 }
 
-// amountUsed returns what was taken in the window.
-func (w *Window) amountUsed(now time.Duration) int64 {
+// over returns a window that covers at least the given time, with what this one holds as taken
+// now, and its reservations.
+func (w *Window) over(d, now time.Duration) *Window {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now)
-	return w.sum
+	n := newWindowOver(d)
+	n.limit, n.reserved = w.limit, w.reserved
+	n.advance(now)
+	n.add(w.sum)
+	return n
 }
 
 // RetryBudget limits retries to a fraction of the requests (a token bucket). It is safe for
--- a/internal/limit/shared.go
+++ b/internal/limit/shared.go
@@ -56,10 +56,7 @@
 	s.rate, s.at = perSecond, at
 	span, n, rare := part(perSecond, at)
 	if span != s.span {
-		used := s.window.amountUsed(now)
-		s.window, s.span = newWindowOver(span), span
-		s.window.SetLimit(used)
-		s.window.Take(used, now)
+		s.window, s.span = s.window.over(span, now), span
 		if rare {
 			s.notBefore = now + s.random(span)
 		}
@@ -91,11 +88,23 @@
 	return span, n, false
 }
 
-// Take takes one request if it is within this VM's part, and reports whether it is.
-func (s *Shared) Take(now time.Duration) bool {
+// Reserve reserves one request, to be sent later, if it is within this VM's part, and reports
+// whether it is. Release ends the reservation.
+func (s *Shared) Reserve(now time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now >= s.notBefore && s.window.Take(1, now)
+	return now >= s.notBefore && s.window.Reserve(1, now)
+}
+
+// Release ends a reservation when its request is sent, or when it is certain that it will not be.
+func (s *Shared) Release(sent bool, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	used := int64(0)
+	if sent {
+		used = 1
+	}
+	s.window.Release(1, used, now)
 }
 
 // Wait returns the time after which this VM may send a request: 0 if it may now, and the length of
--- a/internal/limit/shared_test.go
+++ b/internal/limit/shared_test.go
@@ -38,7 +38,14 @@
 // run lets VMs try to send in turn, all together perSecond times a second.
 func (s *sharers) run(from, to time.Duration, perSecond float64) {
 	for now := from; now < to; now += time.Duration(s.rnd.ExpFloat64() / perSecond * float64(time.Second)) {
-		if s.list[s.rnd.IntN(len(s.list))].Take(now) {
+		x := s.list[s.rnd.IntN(len(s.list))]
+		if !x.Reserve(now) {
+			continue
+		}
+		// Some requests are not sent after all.
+		sent := s.rnd.IntN(4) > 0
+		x.Release(sent, now)
+		if sent {
 			s.sends = append(s.sends, now)
 		}
 	}
@@ -74,7 +81,7 @@
 				}
 				s.set(rate, 0)
 				const length = 60 * time.Second
-				s.run(0, length, 50+3*rate)
+				s.run(0, length, 3*rate+2*float64(vms))
 				assert.Assert(t, s.most(ruleSpan) <= allowed(rate), "%d requests in %s", s.most(ruleSpan), ruleSpan)
 				got := float64(len(s.sends)) / length.Seconds()
 				assert.Assert(t, got <= rate+1/ruleSpan.Seconds(), "%.2f requests a second", got)
@@ -131,10 +138,30 @@
 			s := NewShared()
 			s.Set(tt.perSecond, tt.at, 0)
 			for range tt.taken {
-				assert.Assert(t, s.Take(0))
+				assert.Assert(t, s.Reserve(0))
+				s.Release(true, 0)
 			}
 			w := s.Wait(0)
 			assert.Assert(t, w >= tt.min && w <= tt.max, "waits %s", w)
 		})
 	}
 }
+
+// A request may wait between its reservation and its send. The reservation counts in every window
+// until then, also if the limit changes meanwhile.
+func TestSharedReservation(t *testing.T) {
+	const now = 10 * time.Second
+	alone := Position{VMs: 1, Domains: 1}
+	s := NewShared()
+	s.Set(0.5, alone, 0)
+	assert.Assert(t, s.Reserve(0) && s.Reserve(0))
+	assert.Assert(t, !s.Reserve(now), "a reservation expired")
+	s.Set(0.1, alone, now)
+	s.Set(0.5, alone, now)
+	assert.Assert(t, !s.Reserve(now), "a change of the limit lost a reservation")
+	s.Release(false, now)
+	s.Release(true, now)
+	assert.Assert(t, s.Reserve(now))
+	assert.Assert(t, !s.Reserve(now))
+	assert.Assert(t, s.Wait(now) > 3*time.Second)
+}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -113,6 +113,11 @@
 // dispatch sends a job to its target once this VM's share of the target's slots has a free one.
 func (p *Proxy) dispatch(ctx context.Context, c *model.Catalogue, j *job, t *target) result {
 	now := p.now()
+	reservation, ok := t.reserveLimit(now)
+	if !ok {
+		return result{outcome: refused, reason: reasonNotAccepting, rerouted: true}
+	}
+	defer func() { reservation.cancel(p.now()) }()
 	w := p.estimators.get(j.route, j.objective)
 	t.dispatcher.setSlots(slotShare(t.slots(), p.o.Cluster.VMCount(c.RegionOf(p.o.Domain))))
 	at := t.candidate(w, j.key, j.hasAffinity, now)
@@ -131,7 +136,7 @@
 		return result{outcome: refused, rerouted: true, reason: reasonNotAccepting}
 	}
 	from := p.now()
-	r, wasWarm := p.exchange(ctx, j, t)
+	r, wasWarm := p.exchange(ctx, j, t, reservation)
 	r.queueTime = from - now
 	succeeded := r.succeeded()
 	if succeeded {
@@ -181,7 +186,7 @@
 	if c := p.o.Cluster.Catalogue(); c != nil {
 		p.registry.update(c)
 	}
-	if !t.accepting(p.now()) {
+	if !t.isAccepting(p.now()) {
 		return reasonNotAccepting
 	}
 	select {
@@ -196,16 +201,14 @@
 }
 
 // exchange sends a job to its target now.
-func (p *Proxy) exchange(ctx context.Context, j *job, t *target) (r result, wasWarm bool) {
+func (p *Proxy) exchange(ctx context.Context, j *job, t *target, reservation *limitReservation) (r result, wasWarm bool) {
 	from := p.now()
 	remaining := j.deadline - from
 	reason := p.permit(j, t)
 	switch {
 	case reason != "":
 		return result{outcome: refused, reason: reason, rerouted: reason == reasonNotAccepting}, false
-	case t.heldFor(from) > 0:
-		return result{outcome: refused, reason: reasonNotAccepting, rerouted: true}, false
-	case remaining <= 0 || ctx.Err() != nil || !t.usable(from):
+	case remaining <= 0 || ctx.Err() != nil || t.isEjected(from):
 		return result{outcome: refused, reason: "the time was up, or the target was ejected, before it started"}, false
 	}
 	if j.delivery == model.AtMostOnce {
@@ -225,7 +228,7 @@
 			if reason := p.permit(j, t); reason != "" {
 				return reason
 			}
-			if !t.takeLimit(p.now()) {
+			if !reservation.use(p.now()) {
 				return reasonNotAccepting
 			}
 			return ""
--- a/internal/proxy/named.go
+++ b/internal/proxy/named.go
@@ -66,10 +66,11 @@
 	return 0
 }
 
-// take takes one request out of this VM's part.
-func (l *namedLimit) take(now time.Duration) bool {
+// reserve reserves a request in this VM's part, which it returns; the part is nil if there is no
+// limit.
+func (l *namedLimit) reserve(now time.Duration) (*limit.Shared, bool) {
 	p := l.current(now)
-	return p == nil || p.Take(now)
+	return p, p == nil || p.Reserve(now)
 }
 
 // reported reports whether other VMs should learn of the limit, or that it was taken back.
@@ -92,12 +93,45 @@
 	return false
 }
 
-// takeLimit takes a request that is sent now out of this VM's part of the target's limit, and reports
-// whether it may be sent.
-func (t *target) takeLimit(now time.Duration) bool {
+// limitReservation is the reservation of a request in this VM's part of a target's limit.
+type limitReservation struct {
+	target *target
+	part   *limit.Shared
+}
+
+// reserveLimit reserves a request, and reports whether it is within this VM's part of the limit.
+func (t *target) reserveLimit(now time.Duration) (*limitReservation, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.limit.take(now)
+	p, ok := t.limit.reserve(now)
+	return &limitReservation{t, p}, ok
+}
+
+// use ends the reservation, for a request that is sent now, and reports whether it may be sent: the
+// target may have named a limit since.
+func (r *limitReservation) use(now time.Duration) bool {
+	r.target.mu.Lock()
+	defer r.target.mu.Unlock()
+	if part := r.target.limit.part; part != r.part && part != nil {
+		if !part.Reserve(now) {
+			return false
+		}
+		r.cancel(now)
+		r.part = part
+	}
+	if r.part != nil {
+		r.part.Release(true, now)
+		r.part = nil
+	}
+	return true
+}
+
+// cancel ends the reservation if the request was not sent.
+func (r *limitReservation) cancel(now time.Duration) {
+	if r.part != nil {
+		r.part.Release(false, now)
+		r.part = nil
+	}
 }
 
 // limitReport returns the limit and its age for the other VMs, and whether there is something to
--- a/internal/proxy/namedlimit_test.go
+++ b/internal/proxy/namedlimit_test.go
@@ -84,8 +84,14 @@
 // sends returns how many requests the target accepts at a time.
 func sends(x *target, now time.Duration) int {
 	n := 0
-	for n < 1000 && x.takeLimit(now) {
-		n++
+	for n < 1000 {
+		r, ok := x.reserveLimit(now)
+		if !ok {
+			break
+		}
+		if r.use(now) {
+			n++
+		}
 	}
 	return n
 }
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -74,22 +74,35 @@
 func (t *target) usable(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isAccepting(now) || now < t.ejectedUntil || t.limit.wait(now) > 0 || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
-		return false
+	return t.isAcceptingLocked(now) && t.limit.wait(now) == 0 && !t.isEjectedLocked(now)
+}
+
+// isEjected reports whether requests are kept from the target after a failure, or because it ramps
+// up after a pause.
+func (t *target) isEjected(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isEjectedLocked(now)
+}
+
+// isEjectedLocked is isEjected for a caller that holds the lock.
+func (t *target) isEjectedLocked(now time.Duration) bool {
+	if now < t.ejectedUntil || t.rampLimit > 0 && t.inFlight >= t.rampLimit {
+		return true
 	}
 	// After an ejection, one request at a time tests whether the target works again.
-	return t.failures == 0 || t.inFlight == 0
+	return t.failures > 0 && t.inFlight > 0
 }
 
-// accepting reports whether the target is in service and accepts requests from this VM.
-func (t *target) accepting(now time.Duration) bool {
+// isAccepting reports whether the target is in service and accepts requests from this VM.
+func (t *target) isAccepting(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isAccepting(now)
+	return t.isAcceptingLocked(now)
 }
 
-// isAccepting is accepting for a caller that holds the lock.
-func (t *target) isAccepting(now time.Duration) bool {
+// isAcceptingLocked is isAccepting for a caller that holds the lock.
+func (t *target) isAcceptingLocked(now time.Duration) bool {
 	return t.record.State == model.TargetReady && !t.outOfService && !t.addressTaken && t.leavingAt == 0 &&
 		now >= max(t.coldUntil, t.pausedUntil)
 }
