Read a connection's state before it is returned

Cause: exchange returned the connection to the idle list and then read its field used, which the next request may write. The result could take a broken connection of a later request for a new one, or the reverse, and eject a target wrongly.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -171,12 +171,12 @@
 	if r.reason = q.permit(); r.reason == "" {
 		r, keep = x.exchange(q)
 	}
+	r.reused = x.used
 	if stop() && keep {
 		c.put(x)
 	} else {
 		x.Close()
 	}
-	r.reused = x.used
 	return r
 }
 
