Close the listener of a stopping server once

An operator read of a planned stop that had failed.

Cause: with no connection left, Stop closes the HTTP server before its accept loop has returned, so the server still owns the listener that Stop has closed, and closes it a second time.

Change: the listener that both sides hold closes once.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -66,10 +66,11 @@
 
 // Serve serves a listener until Stop is called.
 func (s *Server) Serve(lis net.Listener) error {
+	l := &listener{Listener: lis, s: s}
 	s.mu.Lock()
-	s.lis = lis
+	s.lis = l
 	s.mu.Unlock()
-	err := s.h.Serve(listener{lis, s})
+	err := s.h.Serve(l)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopping {
@@ -163,11 +164,18 @@
 
 type listener struct {
 	net.Listener
-	s *Server
+	s     *Server
+	close sync.Once
+}
+
+// Close closes the listener, which Stop and the HTTP server both do. Only the first call can fail.
+func (l *listener) Close() (err error) {
+	l.close.Do(func() { err = l.Listener.Close() })
+	return err
 }
 
 // Accept accepts a connection and records the time.
-func (l listener) Accept() (net.Conn, error) {
+func (l *listener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -223,3 +223,16 @@
 	defer cancel()
 	assert.ErrorContains(t, s.Stop(ctx), "1 connections were still in use")
 }
+
+// The listener is closed while the accept loop has not returned yet, as in a process that gets
+// little CPU time. Stop must not fail for closing it a second time.
+func TestStopBeforeServeReturns(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := New(&http.Server{Handler: http.NotFoundHandler()})
+	done := make(chan error)
+	go func() { done <- s.Serve(slowListener{Listener: l, accept: 200 * time.Millisecond}) }()
+	time.Sleep(50 * time.Millisecond)
+	assert.NilError(t, s.Stop(context.Background()))
+	assert.NilError(t, <-done)
+}
