Name limits in the soak, and check that they are kept

Targets name a limit one after the other, for eight to sixteen seconds, while processes are killed, stopped, frozen and cut. A limit binds as the users' page says: from contact on, one and a half times what it allows and five requests in any four seconds, from entries that were told and had no harm since.

--- a/internal/soak/monitor.go
+++ b/internal/soak/monitor.go
@@ -22,6 +22,7 @@
 	TargetDrained      Invariant = "a leaving target gets no new work"
 	LeaveHonored       Invariant = "an entry that was told so by a target sends it nothing new"
 	PauseHonored       Invariant = "a target that asks for a pause gets one"
+	LimitHonored       Invariant = "a target gets no more than the limit that it names"
 	DomainDrained      Invariant = "a drained failure domain gets no new work"
 	ConfigInForce      Invariant = "a configuration is in force in time"
 	NoRollback         Invariant = "no process goes back to an older configuration"
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -203,6 +203,7 @@
 		traffic.Go(func(ctx context.Context) error { return s.op.probe(ctx, e) })
 	}
 	traffic.Go(s.op.readLoop)
+	traffic.Go(s.limitLoop)
 	orders := group.New(ctx)
 	orders.Go(s.op.changeLoop)
 	orders.Go(s.op.drainLoop)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -79,6 +79,7 @@
 	g            *group.Group
 	srv          *http.Server
 	behavior     atomic.Int32
+	limiter      limiter
 	slots        chan struct{}
 	inFlight     atomic.Int32
 	coldEnd      time.Duration
@@ -208,6 +209,8 @@
 		x.recordLeaveNotice(entry)
 	}
 	x.mu.Unlock()
+	now := x.mon.now()
+	x.limiter.announce(rw.Header(), entry, now, now+coldServiceTime*slowFactor)
 	m := behavior(x.behavior.Load())
 	if m == pausing {
 		x.recordPause(entry)
@@ -280,6 +283,10 @@
 	if sent := x.mon.sentAt(id); notifiedAt > 0 && sent > 0 && x.mon.undisturbed(notifiedAt, entry) {
 		x.mon.check(LeaveHonored, sent <= notifiedAt+maxDrainDelay, "request %s, sent %s after %s was told that %s leaves, reached it", id, sent-notifiedAt, entry, x.t.ID)
 	}
+	n, most, binding := x.limiter.arrive(entry, at, func(entry string, from time.Duration) bool { return x.mon.undisturbed(from, entry) })
+	if binding {
+		x.mon.check(LimitHonored, n <= most, "%s got %d requests in %s, allowed are %d", x.t.ID, n, limitWindow, most)
+	}
 	if late && x.mon.undisturbed(p.at, entry) {
 		x.mon.check(PauseHonored, p.arrivals <= maxLatePauseRequests, "%s sent %d requests to %s, which had asked for a pause %s ago", entry, p.arrivals, x.t.ID, at-p.at)
 	}
