Check a dispatch of the own interface once its connection is established

The same cause as that of the leaves that came too late, found by looking for it: an owner checked lease, target and deadline, and then established a connection, which takes up to the dial timeout; a target that left meanwhile, or one that belongs to another owner since the lease ended, got the request.

Change: connections to targets ask the guard of their request before the first byte is written, also for a resend by the HTTP client on another connection. A rejected request is reported as not run only if no earlier send of it may have reached a target.

Looked at, and without the gap: forwards to an owner, which checks again by itself; claims, which are committed before the dispatch and reopened if it is rejected.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -151,7 +151,7 @@
 		o: o, now: clock.Stopwatch(), e: echo.New(), state: newStateClient(o),
 		renewNow: make(chan struct{}, 1), rejected: make(chan error, 1), budget: limit.NewRetryBudget(retryBudgetRatio, retryBudgetBurst),
 		peerClient:   &http.Client{Transport: o.Key.Transport(newTransport(o.Dial))},
-		targetClient: &http.Client{Transport: newTransport(o.Dial), CheckRedirect: passRedirect},
+		targetClient: &http.Client{Transport: newTransport(guardedDialer(o.Dial)), CheckRedirect: passRedirect},
 	}
 	x.recorder = burn.New(x.now)
 	x.meter = quota.NewMeter(o.Allowances)
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -91,19 +91,10 @@
 // mayDispatch checks, directly before a dispatch, the conditions that may have changed
 // since the request was admitted.
 func (x *Entry) mayDispatch(j *job, s *pool.Slot, a ownerArgs, arrivedAt time.Duration) error {
-	if !x.leaseValid() {
-		return errors.New("the lease of the owner is over")
-	}
-	if !s.Usable() {
-		return fmt.Errorf("target %q takes no new work", s.Target().ID)
+	if err := x.maySend(j, s); err != nil || !a.shifted {
+		return err
 	}
 	now := x.now()
-	if now >= j.deadline {
-		return errors.New("the deadline has passed")
-	}
-	if !a.shifted {
-		return nil
-	}
 	if now > arrivedAt+2*maxShiftWait {
 		return errors.New("the permit for the shift is too old")
 	}
@@ -115,10 +106,23 @@
 	return nil
 }
 
+// maySend checks, directly before a send, the lease, the target and the deadline.
+func (x *Entry) maySend(j *job, s *pool.Slot) error {
+	switch {
+	case !x.leaseValid():
+		return errors.New("the lease of the owner is over")
+	case !s.Usable():
+		return fmt.Errorf("target %q takes no new work", s.Target().ID)
+	case x.now() >= j.deadline:
+		return errors.New("the deadline has passed")
+	}
+	return nil
+}
+
 // dispatch sends the request to the target and reads its whole answer.
 func (x *Entry) dispatch(ctx context.Context, j *job, s *pool.Slot, a ownerArgs) tryResult {
 	start := x.now()
-	r, res := x.exchange(ctx, j, s.Target(), a.permit)
+	r, res := x.exchange(ctx, j, s, a.permit)
 	r.target = s.Target().ID
 	if res == pool.Failed && ctx.Err() != nil {
 		res = pool.Cancelled
@@ -127,7 +131,9 @@
 	return r
 }
 
-func (x *Entry) exchange(ctx context.Context, j *job, t pool.Target, p *permit) (tryResult, pool.Result) {
+func (x *Entry) exchange(ctx context.Context, j *job, s *pool.Slot, p *permit) (tryResult, pool.Result) {
+	t, g := s.Target(), &sendGuard{check: func() error { return x.maySend(j, s) }}
+	ctx = g.attach(ctx)
 	q, err := http.NewRequestWithContext(ctx, j.method, "http://"+t.Addr+j.path, bytes.NewReader(j.body))
 	if err != nil {
 		return refused(0, "request cannot be made: %v", err), pool.Succeeded
@@ -143,6 +149,9 @@
 	q.Header.Set(wire.HeaderDeadline, strconv.FormatInt(max(1, (j.deadline-x.now()).Milliseconds()), 10))
 	q.Header.Set(wire.HeaderRegion, string(j.home))
 	res, err := x.targetClient.Do(q)
+	if rejected := g.rejected(); err != nil && rejected != nil {
+		return refused(noTargetRetryAfter, "%v", rejected), pool.Cancelled
+	}
 	if err != nil {
 		return broken("target %q: %v", t.ID, err), pool.Failed
 	}
