--- a/internal/limit/shared.go
+++ b/internal/limit/shared.go
@@ -43,7 +43,7 @@
 
 // NewShared returns a part of 0 of no limit.
 func NewShared() *Shared {
-	return &Shared{window: newWindowOver(sharedSpan), span: sharedSpan, random: func(d time.Duration) time.Duration { return rand.N(d) }}
+	return &Shared{window: newWindowOver(sharedSpan), span: sharedSpan, random: rand.N[time.Duration]}
 }
 
 // Set sets the limit of all VMs, in requests per second, and the position of this VM.
--- a/internal/limit/shared_test.go
+++ b/internal/limit/shared_test.go
@@ -51,11 +51,11 @@
 	}
 }
 
-// most returns the highest number of sends in any span.
-func (s *sharers) most(span time.Duration) int {
+// most returns the highest number of sends in any ruleSpan.
+func (s *sharers) most() int {
 	most, first := 0, 0
 	for i, at := range s.sends {
-		for s.sends[first] <= at-span {
+		for s.sends[first] <= at-ruleSpan {
 			first++
 		}
 		most = max(most, i+1-first)
@@ -82,7 +82,7 @@
 				s.set(rate, 0)
 				const length = 60 * time.Second
 				s.run(0, length, 3*rate+2*float64(vms))
-				assert.Assert(t, s.most(ruleSpan) <= allowed(rate), "%d requests in %s", s.most(ruleSpan), ruleSpan)
+				assert.Assert(t, s.most() <= allowed(rate), "%d requests in %s", s.most(), ruleSpan)
 				got := float64(len(s.sends)) / length.Seconds()
 				assert.Assert(t, got <= rate+1/ruleSpan.Seconds(), "%.2f requests a second", got)
 				assert.Assert(t, len(s.sends) > 0 && got >= 0.5*rate-0.25, "only %.2f requests a second", got)
@@ -113,7 +113,7 @@
 			}
 			s.set(rate, now+2*time.Second)
 			s.run(now+2*time.Second, now+5*time.Second, 200)
-			assert.Assert(t, s.most(ruleSpan) <= allowed(rate), "seed %d at %s: %d requests at a limit of %g", seed, now, s.most(ruleSpan), rate)
+			assert.Assert(t, s.most() <= allowed(rate), "seed %d at %s: %d requests at a limit of %g", seed, now, s.most(), rate)
 		}
 	}
 }
@@ -154,7 +154,9 @@
 	alone := Position{VMs: 1, Domains: 1}
 	s := NewShared()
 	s.Set(0.5, alone, 0)
-	assert.Assert(t, s.Reserve(0) && s.Reserve(0))
+	for range 2 {
+		assert.Assert(t, s.Reserve(0))
+	}
 	assert.Assert(t, !s.Reserve(now), "a reservation expired")
 	s.Set(0.1, alone, now)
 	s.Set(0.5, alone, now)
