Let a pull from the leader outlast the renewal that asked for it

Cause: an entry long-polls one replica. If that one is frozen, cut off or silent, only the renewals tell of a newer version, and the pull from the leader ended with the renewal that started it, after 0.4 to 1.2 s. A change that takes longer over the entry's link never arrived that way, and each renewal transferred it again, which filled the link further, until the long poll ended after 4.4 s; the bound is 3 s.

Change: the pull from the leader is one of its own, with 2.5 s; renewals wait for the one that is in progress, and start another only when it has ended or the leader is another. The lease is still extended only when the catalogue is there.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,6 +119,7 @@
 	lease            leaseState
 	view             atomic.Pointer[view]
 	store            catalogueStore
+	leaderPull       *leaderPull
 	directory        directory
 	announced        announcements
 	pools            pools
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -87,6 +87,9 @@
 	// firstPullTimeout bounds a first pull: a catalogue of some hundred kilobytes over a
 	// link of 2 Mbit/s.
 	firstPullTimeout = 4 * time.Second
+	// leaderPullTimeout bounds a pull from the leader: a large change over a full link, but not
+	// the time that a leader takes which is suspended.
+	leaderPullTimeout = 2500 * time.Millisecond
 	// replicaProbeTimeout bounds a probe of a replica: one round trip between regions, with
 	// a margin for a replica that has just started.
 	replicaProbeTimeout = 250 * time.Millisecond
@@ -132,19 +135,59 @@
 	}
 }
 
+// leaderPull is the last pull from a leader.
+type leaderPull struct {
+	addr   string
+	cancel context.CancelFunc
+	// done is closed when the pull has ended with err.
+	done chan struct{}
+	err  error
+}
+
 // pullFromLeader pulls from the leader without waiting for a change, and fails where the
-// catalogue is still older than version.
+// catalogue is still older than version. If the context ends first, the pull goes on, and a
+// later call waits for it: a large change takes longer over a full link than one renewal may,
+// and would fill the link again if it started anew.
 func (x *Entry) pullFromLeader(ctx context.Context, version uint64) error {
-	_, c := x.state.leader()
-	if err := x.pull(ctx, c, 0); err != nil {
-		return err
+	p := x.currentLeaderPull()
+	select {
+	case <-p.done:
+	case <-ctx.Done():
+		return errs.New("entry.pull", KindNoState, ctx.Err())
 	}
 	if v := x.store.version(); uint64(v) < version {
-		return errs.Newf("entry.pull", KindNoState, "catalogue has version %d after the pull, expected at least %d", v, version)
+		return errs.Newf("entry.pull", KindNoState, "catalogue has version %d after the pull, expected at least %d: %v", v, version, p.err)
 	}
 	return nil
 }
 
+// currentLeaderPull returns the pull from the leader that is in progress, or starts one. A pull from
+// a former leader is cancelled. Only the renewals call it.
+func (x *Entry) currentLeaderPull() *leaderPull {
+	addr, c := x.state.leader()
+	if p := x.leaderPull; p != nil {
+		select {
+		case <-p.done:
+		default:
+			if p.addr == addr {
+				return p
+			}
+		}
+		p.cancel()
+	}
+	p := &leaderPull{addr: addr, done: make(chan struct{})}
+	x.leaderPull = p
+	var ctx context.Context
+	ctx, p.cancel = context.WithTimeout(x.g.Context(), leaderPullTimeout)
+	x.g.Go(func(context.Context) error {
+		defer close(p.done)
+		defer p.cancel()
+		p.err = x.pull(ctx, c, 0)
+		return nil
+	})
+	return p
+}
+
 func (x *Entry) pull(ctx context.Context, c eelpb.State, wait time.Duration) error {
 	base := x.store.version()
 	r, err := c.Pull(ctx, &eelpb.PullRequest{
--- a/internal/entry/pull_test.go
+++ b/internal/entry/pull_test.go
@@ -187,3 +187,96 @@
 		})
 	}
 }
+
+// leaderState is a leader with version 1 of the catalogue, and version 2 from a time on, which takes
+// a while to transfer, as over a full link.
+type leaderState struct {
+	eelpb.State
+	changed  atomic.Bool
+	transfer time.Duration
+	pulls    atomic.Int64
+}
+
+func (s *leaderState) version() uint64 {
+	if s.changed.Load() {
+		return 2
+	}
+	return 1
+}
+
+func (s *leaderState) Renew(context.Context, *eelpb.RenewRequest) (*eelpb.RenewReply, error) {
+	return &eelpb.RenewReply{Version: s.version(), LeaseMs: 2500, Grant: 1, DirectoryFull: true}, nil
+}
+
+func (s *leaderState) Pull(ctx context.Context, q *eelpb.PullRequest) (*eelpb.PullReply, error) {
+	v := s.version()
+	if v > 1 && q.Version > 0 {
+		s.pulls.Add(1)
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(s.transfer):
+		}
+	}
+	return &eelpb.PullReply{Version: v, Snapshot: true, Objects: []*eelpb.Object{
+		{Kind: "region", Name: "a", Owner: "o", Spec: []byte("{}"), Version: v},
+	}}, nil
+}
+
+// frozenState is a replica that serves the first catalogue and then answers no more.
+type frozenState struct{ eelpb.State }
+
+func (frozenState) Renew(context.Context, *eelpb.RenewRequest) (*eelpb.RenewReply, error) {
+	return nil, errors.New("no leader")
+}
+
+func (frozenState) Pull(ctx context.Context, q *eelpb.PullRequest) (*eelpb.PullReply, error) {
+	if q.Version > 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return versionState{version: 1}.Pull(ctx, q)
+}
+
+// The replica that an entry polls is frozen, so that only the renewals tell of a change, and the
+// change takes longer to transfer than a renewal may take. It must be in force in time, and must not
+// be transferred again and again.
+func TestLargeChangeWhilePolledReplicaIsFrozen(t *testing.T) {
+	const (
+		inForce = 3 * time.Second
+		renewal = 800 * time.Millisecond
+	)
+	for _, transfer := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond} {
+		t.Run(transfer.String(), func(t *testing.T) {
+			k, leader := auth.NewKey("k"), &leaderState{transfer: transfer}
+			newReplica := func(s eelpb.State, delay time.Duration) string {
+				m := http.NewServeMux()
+				m.Handle("/", k.Require(eelpb.NewStateServer(s)))
+				m.HandleFunc(wire.PathHealth, func(http.ResponseWriter, *http.Request) { time.Sleep(delay) })
+				srv := httptest.NewServer(m)
+				t.Cleanup(srv.CloseClientConnections)
+				return srv.Listener.Addr().String()
+			}
+			replicas := []string{newReplica(leader, 100*time.Millisecond), newReplica(frozenState{}, 0)}
+			x, err := New(Options{
+				ID: "v", Addr: "127.0.0.1:1", Domain: "a-1", Replicas: replicas, Key: k, Log: log.NewNopLogger(), Dial: (&net.Dialer{}).DialContext,
+				RenewInterval: renewal, LongPollTimeout: 4 * time.Second,
+			})
+			assert.NilError(t, err)
+			defer x.Close()
+			for from := time.Now(); !x.leaseValid() && time.Since(from) < inForce; {
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Assert(t, x.leaseValid())
+			// By then the entry polls the frozen replica.
+			time.Sleep(2 * replicaProbeTimeout)
+			leader.changed.Store(true)
+			from := time.Now()
+			for x.Catalogue().Version < 2 && time.Since(from) < inForce {
+				time.Sleep(5 * time.Millisecond)
+			}
+			assert.Equal(t, x.Catalogue().Version, model.Version(2), "not in force after %s, after %d transfers", time.Since(from), leader.pulls.Load())
+			assert.Equal(t, leader.pulls.Load(), int64(1))
+		})
+	}
+}
