--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -7,7 +7,7 @@
 //	w.SetLimit(20)
 //	ok := w.Take(1, now)
 //
-// A window is a little longer than a second: with varying delays, events that are
+// A default window is a little longer than a second: with varying delays, events that are
 // sent within one second may arrive within less.
 //
 // Shared is one VM's part of a limit that holds for all VMs together.
@@ -30,7 +30,7 @@
 	WindowLength = bucketLength * buckets
 )
 
-// Window counts what was taken in the last 24 buckets. It is safe for concurrent use.
+// Window counts what was taken in its last buckets. It is safe for concurrent use.
 type Window struct {
 	mu sync.Mutex
 	// bucket is the length of a bucket.
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -96,17 +96,10 @@
 		n := minLimit + rnd.Float64()*(maxLimit-minLimit)
 		level.Info(s.l).Log("msg", "target limits", "atMillis", s.mon.now().Milliseconds(), "target", x.t.ID, "perSecond", n)
 		x.limiter.set(n)
-		sleepFor(ctx, minLimitPeriod+time.Duration(rnd.Int64N(int64(maxLimitPeriod-minLimitPeriod))))
+		period, cancel := context.WithTimeout(ctx, minLimitPeriod+time.Duration(rnd.Int64N(int64(maxLimitPeriod-minLimitPeriod))))
+		<-period.Done()
+		cancel()
 		x.limiter.set(0)
 	}
 	return nil
 }
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
