--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -10,7 +10,11 @@
 // A default window is a little longer than a second: with varying delays, events that are
 // sent within one second may arrive within less.
 //
-// Shared is one VM's part of a limit that holds for all VMs together.
+// Shared is one VM's part of a limit that holds for all VMs together:
+//
+//	s := limit.NewShared()
+//	s.Set(1.9, limit.Position{Rank: 2, VMs: 11, Domains: 6}, now)
+//	if s.Reserve(now) { send(); s.Release(true, now) }
 //
 // Two further types limit retries to a fraction of the requests. RetryBudget is a token bucket:
 // it needs no clock and keeps unused tokens, up to a maximum, until a retry takes them. Use it
