--- a/review/harness/stand.go
+++ b/review/harness/stand.go
@@ -53,12 +53,14 @@
 	work              func(*http.Request) time.Duration
 	seq               atomic.Int64
 	cold              atomic.Int64
-	state             atomic.Value
-	leaving           atomic.Bool
-	stop              chan struct{}
-	stopOnce          sync.Once
-	h                 *http.Server
-	runs              *runs
+	// coldNow, if set, returns how long the server stays cold, in place of cold.
+	coldNow  func() time.Duration
+	state    atomic.Value
+	leaving  atomic.Bool
+	stop     chan struct{}
+	stopOnce sync.Once
+	h        *http.Server
+	runs     *runs
 }
 
 type runs struct {
@@ -88,6 +90,9 @@
 }
 
 func (s *server) beatBody() []byte {
+	if s.coldNow != nil {
+		s.cold.Store(s.coldNow().Milliseconds())
+	}
 	return fmt.Appendf(nil, `{"address":"%s","born":%d,"info":{"service":"%s","version":"v1","zone":"%s","slots":%d},"status":{"state":"%s","sequence":%d,"cold_remaining":"%dms"}}`,
 		addr(s.ip, serverPort), s.born, s.service, s.zone, s.slots, s.state.Load(), s.seq.Add(1), s.cold.Load())
 }
@@ -98,6 +103,9 @@
 		m := s.d.replicas[*at%len(s.d.replicas)]
 		b := s.beatBody()
 		status, text := post(addr(m.ip, controlPort), "/api/Instances.Heartbeat/"+s.id, b, time.Second)
+		if s.coldNow != nil {
+			s.d.rec.add("server %s: check-in with cold_remaining %d ms at %s: status %d %s", s.id, s.cold.Load(), m.name, status, text)
+		}
 		if status/100 == 2 {
 			return true
 		}
