--- a/review/harness/foreign.go
+++ b/review/harness/foreign.go
@@ -39,7 +39,12 @@
 	// ID replaces the other writer's id, for trials.
 	id := cmp.Or(os.Getenv("ID"), addr(d.ip(5, 1), 9100))
 	began := time.Now()
-	if trouble {
+	// CALL replaces the check-ins by one call without a body, for trials.
+	if call := os.Getenv("CALL"); call != "" {
+		status, text := post(addr(d.replicas[0].ip, controlPort), call, nil, time.Second)
+		d.rec.add("one call %s: status %d %s", call, status, text)
+		time.Sleep(time.Second)
+	} else if trouble {
 		go func() {
 			for n := 1; ; n++ {
 				b := fmt.Appendf(nil, `{"address":"%s","born":%d,"info":{"service":"node-exporter","version":"v1","zone":"%s","slots":1},"status":{"state":"ready","sequence":%d,"cold_remaining":"0ms"}}`,
