Leave one invalid object out of the catalogue, not the whole catalogue

Cause: Announce, Withdraw and SetDrain committed objects without checking their names, or that the failure domain of a drain exists; and each reader of the catalogue refused all of it for one object that it could not decode, so entries kept the former routing and the leader renewed no lease.

Evidence: the entries logged "catalogue pull failed" with the object's name.

Change: names and drains are checked before the commit, with the check of the readers; readers leave out an invalid object and what refers to it, log it once, count it and list it in eelctl status. A routing that cannot be read is none (503); an unknown key gets 503 while a workspace cannot be read. The state machine is unchanged, so replicas of both builds apply the log alike.

Why it works: nothing undecodable is committed any more, and one that is stored already, or comes from an older replica, no longer hides the others.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -58,10 +58,12 @@
 	LeaseMillis   model.Millis          `json:"leaseMillis"`
 	// ConfirmationAgeMillis is how long ago the leader confirmed that the version is the
 	// newest, or below 0 where it never did.
-	ConfirmationAgeMillis model.Millis  `json:"proofMillis"`
-	Leaving               bool          `json:"leaving"`
-	InFlight              int           `json:"inFlight"`
-	Shares                []ShareStatus `json:"shares"`
+	ConfirmationAgeMillis model.Millis `json:"proofMillis"`
+	Leaving               bool         `json:"leaving"`
+	// InvalidObjects is the number of objects that the catalogue in force leaves out.
+	InvalidObjects int           `json:"invalidObjects,omitempty"`
+	InFlight       int           `json:"inFlight"`
+	Shares         []ShareStatus `json:"shares"`
 }
 
 // Status returns the entry's state.
@@ -77,6 +79,9 @@
 	if ago, ok := x.ConfirmationAge(); ok {
 		s.ConfirmationAgeMillis = model.Millis(ago.Milliseconds())
 	}
+	if c := x.store.catalogue(); c != nil {
+		s.InvalidObjects = len(c.Invalid)
+	}
 	shares, _ := x.limits.report(x.now())
 	for _, r := range shares {
 		s.Shares = append(s.Shares, ShareStatus{Resource: r.Resource, Share: r.Amount, Utilization: x.limits.get(r.Resource).Utilization(x.now())})
--- a/internal/entry/pull.go
+++ b/internal/entry/pull.go
@@ -9,6 +9,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 )
 
@@ -34,18 +35,16 @@
 }
 
 // apply applies a reply to the catalogue at version base and reports whether it was newer.
-func (s *catalogueStore) apply(base model.Version, r *eelpb.PullReply) (bool, error) {
+func (s *catalogueStore) apply(base model.Version, r *eelpb.PullReply, l log.Logger) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.current != nil && (uint64(s.current.Version) >= r.Version || !r.Snapshot && base != s.current.Version) {
-		return false, nil
-	}
-	c, err := state.ApplyDelta(s.current, r)
-	if err != nil {
-		return false, err
+		return false
 	}
+	c := state.ApplyDelta(s.current, r)
+	state.LogInvalid(l, s.current, c)
 	s.current = c
-	return true, nil
+	return true
 }
 
 // nearestReplicaTTL is how long the nearest replica is used before all are probed again:
@@ -196,11 +195,7 @@
 	if err != nil {
 		return errs.New("entry.pull", KindNoState, err)
 	}
-	newer, err := x.store.apply(base, r)
-	if err != nil {
-		return errs.New("entry.pull", KindNoState, err)
-	}
-	if newer {
+	if x.store.apply(base, r, x.o.Log) {
 		x.rebuildTable()
 		level.Info(x.o.Log).Log("msg", "catalogue in force", "version", r.Version)
 	}
--- a/internal/entry/pull_test.go
+++ b/internal/entry/pull_test.go
@@ -1,11 +1,13 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -96,6 +98,28 @@
 	}
 }
 
+// A reply with an object that is not valid puts the other objects in force. Refusing the reply
+// would keep every later change from taking effect.
+func TestInvalidObjectInReply(t *testing.T) {
+	var s catalogueStore
+	reply := func(v uint64, name string) *eelpb.PullReply {
+		return &eelpb.PullReply{Version: v, Snapshot: v == 1, Objects: []*eelpb.Object{
+			{Kind: "target", Name: "127.0.5.1:9100", Owner: "o", Spec: []byte("{}"), Version: v},
+			{Kind: "region", Name: name, Owner: "o", Spec: []byte("{}"), Version: v},
+		}}
+	}
+	for v, name := range []string{"a", "b", "c"} {
+		var b bytes.Buffer
+		assert.Assert(t, s.apply(model.Version(v), reply(uint64(v+1), name), log.NewJSONLogger(&b)))
+		assert.Equal(t, strings.Count(b.String(), "invalid object left out"), 1, b.String())
+	}
+	assert.Equal(t, len(s.catalogue().Regions), 3)
+	assert.Equal(t, len(s.catalogue().Invalid), 1)
+	var b bytes.Buffer
+	assert.Assert(t, s.apply(3, &eelpb.PullReply{Version: 4}, log.NewJSONLogger(&b)))
+	assert.Equal(t, b.String(), "", "logged again")
+}
+
 // An entry must poll the nearest replica that works: the first to answer a probe, and
 // another one after a failure.
 func TestNearestReplica(t *testing.T) {
--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -28,6 +28,8 @@
 	Regions []regionStatus       `json:"regions"`
 	// Workspaces lists the workspaces with recent usage.
 	Workspaces []wire.WorkspaceUse `json:"workspaces,omitempty"`
+	// Invalid lists the objects that are left out of the catalogue.
+	Invalid []wire.InvalidObject `json:"invalid,omitempty"`
 }
 
 // regionStatus summarizes the targets of a region.
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{Version: s.Version, Claims: s.Claims, Workspaces: s.Workspaces}
+	d := &deployment{Version: s.Version, Claims: s.Claims, Workspaces: s.Workspaces, Invalid: s.Invalid}
 	if err := json.Unmarshal(s.Replica, &d.Replica); err != nil {
 		return nil, err
 	}
@@ -91,13 +93,13 @@
 	return d, nil
 }
 
-// fetchCatalogue reads and validates the catalogue.
+// fetchCatalogue reads the catalogue.
 func fetchCatalogue(ctx context.Context, cl *admin.Client) (*model.Catalogue, error) {
 	cat, err := cl.Catalogue(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return model.NewCatalogue(cat.Version, cat.Objects)
+	return model.Build(cat.Version, cat.Objects), nil
 }
 
 // announcedTargets returns the targets that announced themselves to the replicas. Targets that
@@ -173,6 +175,12 @@
 			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\n", x.Workspace, x.Used, x.Most, x.Credited, x.VMs)
 		}
 	}
+	if len(d.Invalid) > 0 {
+		fmt.Fprintln(w, "\nINVALID OBJECT\tSINCE VERSION\tLEFT OUT BECAUSE")
+		for _, x := range d.Invalid {
+			fmt.Fprintf(w, "%s\t%d\t%s\n", x.Object, x.Version, x.Error)
+		}
+	}
 	d.sharesText(w)
 }
 
--- a/internal/proxy/access.go
+++ b/internal/proxy/access.go
@@ -86,6 +86,8 @@
 		return response{}, true
 	case !q.access.authenticated && !p.o.Cluster.Fresh():
 		return q.refusal(why+", and the keys may be out of date", p.untilConfirmed(q)), false
+	case !q.access.authenticated && c.HasInvalid(model.ObjectWorkspace):
+		return q.refusal(why+", and not all workspaces could be read", retryDelay), false
 	case !q.access.authenticated:
 		return q.localResponse(http.StatusUnauthorized, why), false
 	case !p.areKeysValid():
--- a/internal/proxy/access_test.go
+++ b/internal/proxy/access_test.go
@@ -95,6 +95,20 @@
 	}
 }
 
+// While a workspace of the catalogue could not be read, an unknown key may be one of its keys. Its
+// request is refused for now and not for good, and other workspaces are served.
+func TestKeysOfUnreadableWorkspace(t *testing.T) {
+	s := newFakeTarget(t, okResponse)
+	x := keyedCluster(t, s)
+	bad := object(t, model.ObjectWorkspace, "later", map[string]int{"later": 1})
+	x.c = x.c.Apply(3, []model.Object{bad}, nil)
+	p := newProxy(x)
+	w := doRequestWith(p, "/safe/x", "Authorization", "Bearer unknown")
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Assert(t, w.Header().Get("Retry-After") != "")
+	assert.Equal(t, doRequestWith(p, "/safe/x", "Authorization", "Bearer good").Code, http.StatusOK)
+}
+
 // If the routing requires no keys, all headers are forwarded unchanged.
 func TestKeysNotRequired(t *testing.T) {
 	s := newFakeTarget(t, okResponse)
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -126,9 +126,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err := s.refresh(); err != nil {
-		return "", false
-	}
+	s.refresh()
 	for _, o := range s.catalogue.Owners {
 		if auth.TokenMatches(t, o.TokenSHA256) {
 			return o.Name, true
@@ -189,8 +187,9 @@
 	for _, o := range m {
 		next = append(next, o)
 	}
-	if _, err := model.NewCatalogue(v+1, next); err != nil {
-		return errs.New(op, KindInvalid, err)
+	// An object that is invalid already must not keep operators from changing others.
+	for _, x := range model.Build(v+1, next).NewlyInvalid(model.Build(v, objects)) {
+		return errs.Newf(op, KindInvalid, "%s: %v", x.Key(), x.Err)
 	}
 	return nil
 }
@@ -241,6 +240,9 @@
 	}
 	a.Targets = t
 	a.Workspaces = s.workspaceUses()
+	for _, x := range s.catalogue.Invalid {
+		a.Invalid = append(a.Invalid, wire.InvalidObject{Object: x.Key(), Version: x.Version, Error: x.Err.Error()})
+	}
 	return c.JSON(http.StatusOK, a)
 }
 
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -52,6 +52,9 @@
 // Announce processes a target's announcement. It returns nil only if the announced state is
 // committed or the announcement is out of date.
 func (s *Server) Announce(ctx context.Context, t model.Target, sequence uint64) error {
+	if err := model.CheckName(string(t.ID)); err != nil {
+		return errs.New("server.Announce", KindInvalid, err)
+	}
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(t.ID))
 	if o != nil && s.registry.isCommitted(o, t) {
 		s.registry.observe(string(t.ID))
@@ -101,7 +104,7 @@
 	for _, o := range others {
 		x := model.Target{ID: model.TargetID(o.Name)}
 		if err := json.Unmarshal(o.Spec, &x); err != nil {
-			return nil, "", errs.New("server.addressConflicts", KindInvalid, err)
+			continue // It is left out of the catalogue, so it gets no requests.
 		}
 		if x.Addr != t.Addr || x.State == model.TargetGone {
 			continue
@@ -122,12 +125,12 @@
 // Withdraw marks an incarnation of a target as gone, for good. Incarnation 0 means the
 // current one.
 func (s *Server) Withdraw(ctx context.Context, id model.TargetID, incarnation uint64) error {
+	if err := model.CheckName(string(id)); err != nil {
+		return errs.New("server.Withdraw", KindInvalid, err)
+	}
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(id))
 	if o == nil {
-		// This replica may lag behind, so read from the leader.
-		r, err := callLeader(ctx, s, func(c context.Context, l eelpb.State) (*eelpb.ReadReply, error) {
-			return l.Read(c, &eelpb.ReadRequest{Kind: string(model.ObjectTarget), Name: string(id)})
-		})
+		r, err := s.readLeader(ctx, model.ObjectTarget, string(id))
 		if err != nil {
 			return err
 		}
@@ -136,7 +139,8 @@
 	t := model.Target{ID: id}
 	if o != nil {
 		if err := json.Unmarshal(o.Spec, &t); err != nil {
-			return errs.New("server.Withdraw", KindInvalid, err)
+			level.Warn(s.o.Log).Log("msg", "stored target not decoded", "target", id, "err", err)
+			t = model.Target{ID: id}
 		}
 	}
 	if incarnation != 0 && incarnation < t.Incarnation {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -37,7 +37,6 @@
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 	"github.com/twitchtv/twirp"
 )
@@ -109,9 +108,7 @@
 // New returns a server for a replica.
 func New(o Options) (*Server, error) {
 	s := &Server{o: o, e: echo.New(), batches: batcher{pending: make(chan struct{}, 1)}}
-	if err := s.refresh(); err != nil {
-		return nil, err
-	}
+	s.refresh()
 	s.routes()
 	s.g = group.New(context.Background())
 	s.g.Go(s.commitBatches)
@@ -161,16 +158,13 @@
 }
 
 // refresh builds the catalogue if the state machine has a newer one.
-func (s *Server) refresh() error {
+func (s *Server) refresh() {
 	if s.catalogue != nil && s.catalogue.Version == s.o.Node.Machine().Version() {
-		return nil
-	}
-	c, err := state.ApplyDelta(s.catalogue, s.o.Node.Machine().Delta(uint64(s.catalogueVersion())))
-	if err != nil {
-		return err
+		return
 	}
+	c := state.ApplyDelta(s.catalogue, s.o.Node.Machine().Delta(uint64(s.catalogueVersion())))
+	state.LogInvalid(s.o.Log, s.catalogue, c)
 	s.catalogue = c
-	return nil
 }
 
 // leaderState returns the lease grantor of the current term and the catalogue, and reports
@@ -180,10 +174,7 @@
 	if !ok {
 		return nil, nil, false
 	}
-	if err := s.refresh(); err != nil {
-		level.Error(s.o.Log).Log("msg", "catalogue build failed", "err", err)
-		return nil, nil, false
-	}
+	s.refresh()
 	if s.grantor == nil || s.term != t {
 		s.term = t
 		s.grantor = lease.New(lease.Options{Duration: s.o.LeaseDuration}, won, uint64(t))
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -185,7 +185,52 @@
 		return err
 	}
 	o.Removed = !on
+	// A drain that an earlier build stored under an invalid name can be removed.
+	if on || s.o.Node.Machine().Object(model.ObjectDrain, string(d)) == nil {
+		if err := model.CheckName(string(d)); err != nil {
+			return errs.New("server.SetDrain", KindInvalid, err)
+		}
+	}
+	if on {
+		if err := s.checkDrain(ctx, o, d); err != nil {
+			return err
+		}
+	}
 	res, err := s.submit(ctx, &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{o}})
 	level.Info(s.o.Log).Log("msg", "drain submitted", "failureDomain", d, "on", on, "version", res.GetVersion(), "err", err)
 	return err
 }
+
+// checkDrain returns an error if a drain would not be a valid object, such as that of a failure
+// domain that does not exist.
+func (s *Server) checkDrain(ctx context.Context, o *eelpb.Object, d model.FailureDomainID) error {
+	s.mu.Lock()
+	s.refresh()
+	c := s.catalogue
+	s.mu.Unlock()
+	_, invalid := c.With(c.Version+1, []model.Object{state.ToModel(o)}, nil)
+	if invalid == nil {
+		return nil
+	}
+	if s.o.DomainRegions != nil {
+		// The leader adds the failure domains of the settings.
+		if _, ok := s.o.DomainRegions()[d]; ok {
+			return nil
+		}
+	}
+	r, err := s.readLeader(ctx, model.ObjectFailureDomain, string(d))
+	if err != nil {
+		return err
+	}
+	if r.Object == nil {
+		return errs.New("server.SetDrain", KindInvalid, invalid)
+	}
+	return nil
+}
+
+// readLeader reads an object from the leader, since this replica may lag behind.
+func (s *Server) readLeader(ctx context.Context, k model.ObjectKind, name string) (*eelpb.ReadReply, error) {
+	return callLeader(ctx, s, func(c context.Context, l eelpb.State) (*eelpb.ReadReply, error) {
+		return l.Read(c, &eelpb.ReadRequest{Kind: string(k), Name: name})
+	})
+}
--- a/pkg/model/delta_test.go
+++ b/pkg/model/delta_test.go
@@ -285,3 +285,66 @@
 		})
 	}
 }
+
+// A committed object that is not valid is left out, and all others take effect, whether the
+// catalogue is built anew or by deltas. Refusing the whole catalogue would keep every later
+// change from taking effect.
+func TestInvalidCommittedObjectLeftOut(t *testing.T) {
+	valid := append(topologyObjects(), routingObject(1, 2), targetObject(1, TargetReady), workspaceObject("w", 1, "k"))
+	tests := []struct {
+		name string
+		bad  Object
+		// want lists the keys that are left out, which are those of the object and of the
+		// objects that refer to it.
+		want []string
+	}{
+		{"name", targetNamed("10.0.0.1:9100"), []string{"target/10.0.0.1:9100"}},
+		{"spec of a target", Object{Kind: ObjectTarget, Name: "i-1", Owner: "o", Spec: []byte("{")}, []string{"target/i-1"}},
+		{"owner of a target", Object{Kind: ObjectTarget, Name: "x", Spec: []byte("{}")}, []string{"target/x"}},
+		{"field of a later build", Object{Kind: ObjectTarget, Name: "x", Owner: "o", Spec: []byte(`{"later":1}`)}, []string{"target/x"}},
+		{"kind of a later build", objectOf("moon", "m", Region{}), []string{"moon/m"}},
+		{"drain of an unknown failure domain", objectOf(ObjectDrain, "x", Drain{FailureDomain: "x"}), []string{"drain/x"}},
+		{"workspace", Object{Kind: ObjectWorkspace, Name: "v", Owner: "o", Spec: []byte(`{"later":1}`)}, []string{"workspace/v"}},
+		{"key of another workspace", workspaceObject("v", 1, "k"), []string{"workspace/v"}},
+		{"routing", Object{Kind: ObjectRouting, Name: "other", Owner: "o", Spec: []byte("{}")}, []string{"routing/other"}},
+		{
+			"region with failure domains", Object{Kind: ObjectRegion, Name: "a", Owner: "o", Spec: []byte("7")},
+			[]string{"region/a", "failureDomain/d-0", "failureDomain/d-1", "failureDomain/d-2", "failureDomain/d-3", "failureDomain/d-4", "failureDomain/d-5", "failureDomain/d-6", "failureDomain/d-7", "failureDomain/d-8"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rest := slices.DeleteFunc(slices.Clone(valid), func(o Object) bool { return o.Key() == tt.bad.Key() })
+			before := Build(1, valid)
+			assert.Equal(t, len(before.Invalid), 0)
+			built := Build(2, append(rest, tt.bad))
+			changed := before.Apply(2, []Object{tt.bad}, nil)
+			for how, c := range map[string]*Catalogue{"built": built, "changed": changed} {
+				var keys []string
+				for _, x := range c.Invalid {
+					keys = append(keys, x.Key())
+				}
+				assert.DeepEqual(t, keys, tt.want)
+				assert.Equal(t, len(c.NewlyInvalid(before)), len(tt.want), how)
+				later := c.Apply(3, []Object{routingObject(2, 3), targetObject(2, TargetDraining)}, nil)
+				assert.Equal(t, later.Routing.Revision, Revision(2), how)
+				x, ok := later.Targets.Get("i-2")
+				assert.Assert(t, ok && x.State == TargetDraining, how)
+				w, ok := later.Workspaces.Of(DigestOf("k"))
+				assert.Assert(t, ok && w.Name == "w", how)
+				assert.Equal(t, len(later.NewlyInvalid(c)), 0, "%s: logged again", how)
+				mended := later.Apply(4, append(rest[:0:0], valid...), []string{tt.bad.Key()}).Apply(5, valid, nil)
+				assert.Equal(t, len(mended.Invalid), 0, how)
+				assert.DeepEqual(t, snapshotOf(mended), snapshotOf(Build(5, append(slices.Clone(valid), targetObject(2, TargetDraining)))))
+			}
+			_, err := NewCatalogue(1, append(rest, tt.bad))
+			assert.ErrorContains(t, err, tt.want[0])
+		})
+	}
+}
+
+func targetNamed(name string) Object {
+	o := targetObject(1, TargetReady)
+	o.Name = name
+	return o
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -197,6 +197,17 @@
 	Workspaces []WorkspaceUse `json:"workspaces,omitempty"`
 	Claims     int            `json:"claims"`
 	ClaimBytes int64          `json:"claimBytes"`
+	// Invalid are the objects of the catalogue that are not valid and left out.
+	Invalid []InvalidObject `json:"invalid,omitempty"`
+}
+
+// InvalidObject is an object that is left out of the catalogue, and why.
+type InvalidObject struct {
+	// Object is its kind and name.
+	Object string `json:"object"`
+	// Version is the version of the catalogue that contained it first.
+	Version model.Version `json:"version"`
+	Error   string        `json:"error"`
 }
 
 // WorkspaceUse is how much of its allowance the callers of a workspace used.
