Let a routing of number 0 take effect only where there is none

Cause: the state machine takes revision 0 for an object without revisions, of which the last write wins, and the routing's number was its revision.

Change: the leader commits the lowest revision of a routing or target only if there is no such object, based on the version at which it found none. The first announcement of a target without an incarnation (revision 0 too) takes the same path.

Why it works: with a base version the state machine accepts the change only if nothing was committed in between. The machine itself is unchanged, so replicas of both builds apply one log alike.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -78,7 +78,7 @@
 			"sequence", sequence, "reason", "a later target has the address", "later", later)
 		return nil
 	}
-	v, err := s.write(ctx, append(replaced, n)...)
+	v, err := s.writeTarget(ctx, n, replaced...)
 	if err != nil {
 		return err // The request handler logs that the announcement was not acknowledged.
 	}
@@ -89,6 +89,16 @@
 	return nil
 }
 
+// writeTarget commits a target, and others that it replaces. The lowest revision of a target is
+// not combined with other writes, since it has an effect only where there is no such target.
+func (s *Server) writeTarget(ctx context.Context, t *eelpb.Object, replaced ...*eelpb.Object) (uint64, error) {
+	if t.Revision > 0 {
+		return s.write(ctx, append(replaced, t)...)
+	}
+	r, err := s.submit(ctx, &eelpb.Change{Author: systemOwner, Objects: append([]*eelpb.Object{t}, replaced...)})
+	return r.GetVersion(), err
+}
+
 // addressConflicts returns writes that withdraw the targets that used the address of t before
 // t started. If another target started at the address later, it returns that target's id
 // instead: then the announcement of t was delayed, and t has ended.
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -191,6 +191,83 @@
 	assert.Equal(t, string(got), "seven")
 }
 
+// The number 0 is below every other one: the routing of revision 0 takes effect only where there
+// is none, however late it arrives. Taken for "no revision", it replaced every later routing.
+func TestRoutingOfRevisionZero(t *testing.T) {
+	type step struct {
+		rev  model.Revision
+		doc  string
+		want string
+	}
+	tests := []struct {
+		name  string
+		steps []step
+	}{
+		{"first", []step{{0, "zero", "zero"}, {0, "zero", "zero"}, {0, "other", "zero"}}},
+		{"replaced", []step{{0, "zero", "zero"}, {1, "one", "one"}, {0, "zero", "one"}}},
+		{"after a later one", []step{{7, "seven", "seven"}, {0, "zero", "seven"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			for _, x := range tt.steps {
+				key := model.Workspace{Name: "w", Keys: []model.KeyDigest{model.DigestOf(x.doc)}}
+				assert.NilError(t, s.PutRouting(ctx, &model.Routing{Revision: x.rev, Keyed: true}, []model.Workspace{key}, []byte(x.doc)))
+				got, err := s.Document(ctx)
+				assert.NilError(t, err)
+				assert.Equal(t, string(got), x.want)
+				c := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0))
+				_, ok := c.Workspaces.Of(model.DigestOf(x.want))
+				assert.Assert(t, ok, "the key of routing %q is missing", x.want)
+			}
+		})
+	}
+}
+
+// Of routings that are sent at the same time, the one with the highest revision takes effect,
+// also if another one has the number 0.
+func TestRoutingOfRevisionZeroBesideAnother(t *testing.T) {
+	s := newServer(t)
+	for i := range 20 {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		_, err := s.submit(ctx, &eelpb.Change{Objects: []*eelpb.Object{
+			{Kind: string(model.ObjectRouting), Name: model.RoutingName, Removed: true}, {Kind: string(model.ObjectDocument), Name: model.RoutingName, Removed: true},
+		}})
+		assert.NilError(t, err)
+		var g errgroup.Group
+		for rev := range model.Revision(3) {
+			g.Go(func() error {
+				return s.PutRouting(ctx, &model.Routing{Revision: rev}, nil, fmt.Appendf(nil, "r%d", rev))
+			})
+		}
+		assert.NilError(t, g.Wait())
+		got, err := s.Document(ctx)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), "r2", "round %d", i)
+		cancel()
+	}
+}
+
+// An announcement without an incarnation and with sequence number 0 is the first one of its
+// target, so it takes no effect where the leader has a later one, whatever this replica has.
+func TestFirstAnnouncementDelayed(t *testing.T) {
+	s := newServer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ready, draining := target(0, model.TargetReady), target(0, model.TargetDraining)
+	assert.NilError(t, s.Announce(ctx, ready, 0))
+	assert.NilError(t, s.Announce(ctx, draining, 1))
+	late, err := object(model.ObjectTarget, "t", revision(0, 0), ready)
+	assert.NilError(t, err)
+	_, err = s.writeTarget(ctx, late)
+	assert.NilError(t, err)
+	c := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0))
+	x, _ := c.Targets.Get("t")
+	assert.Equal(t, x.State, model.TargetDraining)
+}
+
 // Starting and ending the drain of a failure domain are idempotent.
 func TestSetDrain(t *testing.T) {
 	s := newServer(t)
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"time"
 
@@ -31,6 +32,9 @@
 	if !t.s.o.Node.IsLeader() {
 		return nil, t.s.notLeader()
 	}
+	if isLowest(q) {
+		return t.s.create(ctx, q)
+	}
 	q.AnyBase = true
 	r, err := t.s.o.Node.Propose(ctx, &eelpb.Command{Change: q})
 	if err != nil {
@@ -39,6 +43,38 @@
 	return r.Change, nil
 }
 
+// isLowest reports whether a change starts with the lowest revision of a routing or target. Such
+// a change takes effect only where there is no such object yet. The state machine takes revision
+// 0 for an object without revisions, of which the last write wins.
+func isLowest(q *eelpb.Change) bool {
+	if len(q.Objects) == 0 {
+		return false
+	}
+	o := q.Objects[0]
+	return o.Revision == 0 && !o.Removed && (o.Kind == string(model.ObjectRouting) || o.Kind == string(model.ObjectTarget))
+}
+
+// create commits a change at the leader if its first object does not exist. The change is based
+// on the version at which the object was found missing, so that it cannot replace another one
+// that is committed at the same time.
+func (s *Server) create(ctx context.Context, q *eelpb.Change) (*eelpb.ChangeResult, error) {
+	m := s.o.Node.Machine()
+	for {
+		v := uint64(m.Version())
+		if m.Object(model.ObjectKind(q.Objects[0].Kind), q.Objects[0].Name) != nil {
+			return &eelpb.ChangeResult{Accepted: true, Version: v}, nil
+		}
+		p := &eelpb.Change{ChangeId: rand.Text(), BaseVersion: v, Author: q.Author, Objects: m.Effective(q)}
+		r, err := s.o.Node.Propose(ctx, &eelpb.Command{Change: p})
+		if err != nil {
+			return nil, twirp.NewError(twirp.Unavailable, err.Error())
+		}
+		if r.Change.Accepted {
+			return r.Change, nil
+		}
+	}
+}
+
 // Read returns the current state of an object.
 func (t stateService) Read(_ context.Context, q *eelpb.ReadRequest) (*eelpb.ReadReply, error) {
 	if !t.s.o.Node.IsLeader() {
--- a/internal/state/merge.go
+++ b/internal/state/merge.go
@@ -25,6 +25,13 @@
 	return r
 }
 
+// Effective returns the writes of a change that would have an effect on the present state.
+func (m *Machine) Effective(c *eelpb.Change) []*eelpb.Object {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.effectiveWrites(c)
+}
+
 // effectiveWrites returns the writes of a change that have an effect, including the removal
 // of unlisted objects of the kinds in Whole.
 func (m *Machine) effectiveWrites(c *eelpb.Change) []*eelpb.Object {
