Try an estimated service time that refuses every request of a route

Cause: a request is refused if the route's learned service time is beyond its deadline, and only a served request corrects that time. Above the timeout it refused every request for good.

Change: an estimate without a measurement for a second is tried by one request at a time, with a pause that doubles up to 4 s while they fail; one that is served replaces the estimate. New line "service time tried", new metric serviceTimes.

Why it works: there is always a request that can correct the estimate, and its result counts in full.

--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -62,6 +62,8 @@
 	rerouted bool
 	// queueTime is how long the request was in the queue of its target.
 	queueTime time.Duration
+	// took is how long the send took.
+	took time.Duration
 	// retryAfter is how long a refused request would have waited.
 	retryAfter time.Duration
 	// reused means that the connection had carried other requests before.
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/place"
 	"github.com/eelgrassroad/eelgrassroad/internal/queue"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/go-kit/log/level"
 )
 
 // dispatcher is the queue of a target together with the requests that wait in it.
@@ -104,6 +105,12 @@
 	d.queue.MarkWarm(k)
 }
 
+func (d *dispatcher) isWarm(k place.Key) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.IsWarm(k)
+}
+
 func (d *dispatcher) clearWarm() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -111,7 +118,7 @@
 }
 
 // dispatch sends a job to its target once this VM's share of the target's slots has a free one.
-func (p *Proxy) dispatch(ctx context.Context, c *model.Catalogue, j *job, t *target) result {
+func (p *Proxy) dispatch(ctx context.Context, c *model.Catalogue, j *job, t *target) (r result) {
 	now := p.now()
 	reservation, ok := t.reserveLimit(now)
 	if !ok {
@@ -121,10 +128,18 @@
 	w := p.estimators.get(j.route, j.objective)
 	t.dispatcher.setSlots(slotShare(t.slots(), p.o.Cluster.VMCount(c.RegionOf(p.o.Domain))))
 	at := t.candidate(w, j.key, j.hasAffinity, now)
-	ticket, start, wait, why := t.dispatcher.admit(queue.Request{
+	a := queue.Request{
 		Key: j.key, HasAffinity: j.hasAffinity, Priority: j.priority, Deadline: j.deadline, Objective: j.objective,
 		WarmTime: w.Estimate(true), ColdTime: w.Estimate(false), TargetWait: at.Wait(), Spillover: j.spillover, Saturated: !at.HasCapacity(),
-	}, now)
+	}
+	ticket, start, wait, why := t.dispatcher.admit(a, now)
+	if why == queue.ReasonTooSlow {
+		warm := !j.hasAffinity || t.dispatcher.isWarm(j.key)
+		if a.Trial = j.isTrial(w, warm, now); a.Trial {
+			defer func() { p.endTrial(j, w, warm, r) }()
+			ticket, start, wait, why = t.dispatcher.admit(a, now)
+		}
+	}
 	if ticket == nil {
 		return result{outcome: refused, reason: why, retryAfter: wait}
 	}
@@ -137,15 +152,38 @@
 	}
 	from := p.now()
 	r, wasWarm := p.exchange(ctx, j, t, reservation)
-	r.queueTime = from - now
+	r.queueTime, r.took = from-now, p.now()-from
 	succeeded := r.succeeded()
-	if succeeded {
-		w.Observe(wasWarm, p.now()-from)
+	if succeeded && !a.Trial {
+		w.Observe(wasWarm, r.took, p.now())
 	}
 	t.dispatcher.done(ticket, succeeded, p.now())
 	return r
 }
 
+// isTrial reports whether a request is sent although its expected service time is longer than its
+// remaining time, to find out whether that still holds. A request that has used most of its time
+// would tell little.
+func (j *job) isTrial(w *place.ServiceTime, warm bool, now time.Duration) bool {
+	remaining := j.deadline - now
+	return remaining > now-j.start && w.Estimate(warm) > remaining && w.StartTrial(warm, now)
+}
+
+// endTrial records the result of a trial.
+func (p *Proxy) endTrial(j *job, w *place.ServiceTime, warm bool, r result) {
+	x := place.TrialFailed
+	switch {
+	case r.succeeded():
+		x = place.TrialServed
+	case r.outcome == refused || r.outcome == unreached || r.outcome == notRun || r.outcome == callerLeft || r.aborted && r.outcome != timedOut:
+		x = place.TrialNotSent
+	}
+	before := w.Estimate(warm)
+	w.EndTrial(warm, x, r.took, p.now())
+	level.Info(p.o.Log).Log("msg", "service time tried", "request", j.id, "route", j.route, "target", j.target, "warm", warm,
+		"outcome", r.outcome, "tookMillis", r.took.Milliseconds(), "expectedMillis", before.Milliseconds(), "nowExpectedMillis", w.Estimate(warm).Milliseconds())
+}
+
 // await waits until a request may start at a target. If it stops waiting first, it returns the
 // reason.
 func (p *Proxy) await(ctx context.Context, timeout time.Duration, t *target, ticket *queue.Ticket, start <-chan waitResult) (waitResult, string) {
@@ -258,6 +296,22 @@
 	m  map[model.RouteID]*place.ServiceTime
 }
 
+// ServiceTime is the learned service time of a route, in milliseconds.
+type ServiceTime struct {
+	Warm int64 `json:"warmMillis"`
+	Cold int64 `json:"coldMillis"`
+}
+
+func (w *estimators) snapshot() map[model.RouteID]ServiceTime {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := make(map[model.RouteID]ServiceTime, len(w.m))
+	for r, x := range w.m {
+		out[r] = ServiceTime{Warm: x.Estimate(true).Milliseconds(), Cold: x.Estimate(false).Milliseconds()}
+	}
+	return out
+}
+
 func (w *estimators) get(r model.RouteID, objective time.Duration) *place.ServiceTime {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -23,9 +23,11 @@
 	delivery  model.Delivery
 	priority  int
 	objective time.Duration
-	deadline  time.Duration
-	overrun   time.Duration
-	key       place.Key
+	// start is when the request arrived at this VM.
+	start    time.Duration
+	deadline time.Duration
+	overrun  time.Duration
+	key      place.Key
 	// hasAffinity means that the target is faster for an object that is warm there.
 	hasAffinity bool
 	// reservation is the memory reserved for the request's responses.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -94,12 +94,14 @@
 	Responses map[string]int64 `json:"answers"`
 	Own       map[string]int64 `json:"ownAnswers"`
 	// Sends counts the requests to targets by outcome.
-	Sends          map[string]int64          `json:"sends"`
-	Routes         map[model.RouteID]Latency `json:"routes"`
-	TargetLatency  Latency                   `json:"targetLatency"`
-	Targets        int                       `json:"targets"`
-	UsableTargets  int                       `json:"usableTargets"`
-	CatalogueFresh bool                      `json:"catalogueFresh"`
+	Sends  map[string]int64          `json:"sends"`
+	Routes map[model.RouteID]Latency `json:"routes"`
+	// ServiceTimes are the learned service times by which requests are refused that would be late.
+	ServiceTimes   map[model.RouteID]ServiceTime `json:"serviceTimes"`
+	TargetLatency  Latency                       `json:"targetLatency"`
+	Targets        int                           `json:"targets"`
+	UsableTargets  int                           `json:"usableTargets"`
+	CatalogueFresh bool                          `json:"catalogueFresh"`
 	// Held lists the targets that accept no requests, or only some, from this VM, the first maxHeld by name.
 	Held []HeldTarget `json:"held"`
 	// Gossip counts the datagrams between the VMs of the failure domain.
@@ -169,7 +171,7 @@
 	out := Metrics{
 		InFlight: m.inFlight.Load(), Responses: clone(m.responses), Own: clone(m.localResponses), Sends: clone(m.sends),
 		Routes: map[model.RouteID]Latency{}, TargetLatency: latencyOf(m.targetLatency),
-		Targets: known, UsableTargets: usable, CatalogueFresh: p.o.Cluster.Fresh(), Held: held,
+		ServiceTimes: p.estimators.snapshot(), Targets: known, UsableTargets: usable, CatalogueFresh: p.o.Cluster.Fresh(), Held: held,
 	}
 	if p.gossiper != nil {
 		out.Gossip = p.gossiper.Counts()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -45,8 +45,13 @@
 	noLength          = "HTTP/1.1 200 OK\r\nEel-Request-Id: ID\r\nEel-Digest: d\r\n\r\nbody"
 	hangUp            = ""
 	noResponse        = "silence"
+
+	afterSeparator = "|"
 )
 
+// after returns a line that the target sends after a while.
+func after(d time.Duration, line string) string { return d.String() + afterSeparator + line }
+
 func newFakeTarget(t *testing.T, script ...string) *fakeTarget {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -84,6 +89,12 @@
 			}
 			return
 		}
+		if wait, rest, ok := strings.Cut(line, afterSeparator); ok {
+			d, err := time.ParseDuration(wait)
+			assert.Check(s.t, err == nil, "%v", err)
+			time.Sleep(d)
+			line = rest
+		}
 		if _, err := io.WriteString(c, strings.ReplaceAll(line, "ID", r.Header.Get(DefaultHeaders.RequestID))); err != nil {
 			return
 		}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -295,7 +295,7 @@
 	r := p.dispatch(q.r.Context(), c, &job{
 		method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.id, header: q.r.Header, body: q.body,
 		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.priority(), access: q.access,
-		objective: q.route.ObjectiveMillis.Duration(), deadline: q.deadline, overrun: q.overrun, key: q.key, hasAffinity: q.hasAffinity(), reservation: &q.reservation, spillover: spillover,
+		objective: q.route.ObjectiveMillis.Duration(), start: q.start, deadline: q.deadline, overrun: q.overrun, key: q.key, hasAffinity: q.hasAffinity(), reservation: &q.reservation, spillover: spillover,
 	}, t)
 	if q.r.Context().Err() != nil && r.outcome != responded {
 		return result{outcome: callerLeft, reason: "the caller has gone"}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -42,6 +42,9 @@
 	minWaitDivisor = 4
 )
 
+// ReasonTooSlow is the reason why a request is refused that would not be served by its deadline.
+const ReasonTooSlow = "it could not be answered before its deadline"
+
 // Request is a request to the target.
 type Request struct {
 	Key place.Key
@@ -62,6 +65,9 @@
 	// Spillover means that the target is not the first choice for the object. Such a request is
 	// admitted only if the target has a free slot.
 	Spillover bool
+	// Trial means that the expected service time may be outdated, so that it does not count
+	// against the deadline.
+	Trial bool
 	// Saturated means that the target has no spare capacity for a spillover request, which would
 	// displace others there.
 	Saturated bool
@@ -83,6 +89,9 @@
 	return t.WarmTime
 }
 
+// IsCold reports whether the object of the request is cold at the target.
+func (t *Ticket) IsCold() bool { return t.cold }
+
 // Queue holds the requests to one target.
 type Queue struct {
 	slots    int
@@ -129,9 +138,13 @@
 	t := &Ticket{Request: a, cold: a.HasAffinity && !q.warm.IsWarm(a.Key)}
 	wait := max(q.wait(t, now), a.TargetWait)
 	q.isTargetFull = a.TargetWait > 0
+	expected := t.expectedTime(q)
+	if a.Trial {
+		expected = 0
+	}
 	switch {
-	case now+wait+t.expectedTime(q) > a.Deadline:
-		return nil, wait, "it could not be answered before its deadline"
+	case now+wait+expected > a.Deadline:
+		return nil, wait, ReasonTooSlow
 	case a.Spillover && (a.Saturated || len(q.running)+len(q.waiting) >= q.slots):
 		return nil, wait, "the target has no room for an object of another one"
 	case wait > q.maxWait(t, now):
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -279,6 +279,11 @@
 	saturated.Saturated = true
 	longTargetWait := request("", 0)
 	longTargetWait.TargetWait = 900 * ms
+	slow := request("", 0)
+	slow.WarmTime = 5 * time.Second
+	trial, lateTrial, busyTrial := slow, slow, slow
+	trial.Trial, lateTrial.Trial, busyTrial.Trial = true, true, true
+	lateTrial.TargetWait, busyTrial.TargetWait = 4*time.Second, 900*ms
 	late := shortDeadline
 	late.TargetWait = 200 * ms
 	tests := []struct {
@@ -294,6 +299,10 @@
 		{"spillover, spare capacity used by other VMs", 0, saturated, false},
 		{"too long a wait at the target", 0, longTargetWait, false},
 		{"a wait at the target beyond the deadline", 0, late, false},
+		{"a service time beyond the deadline", 0, slow, false},
+		{"a service time beyond the deadline, on trial", 0, trial, true},
+		{"a wait beyond the deadline, on trial", 0, lateTrial, false},
+		{"too long a wait, on trial", 0, busyTrial, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
