Combine the writes of one target before they are committed

Cause: announcements that arrive during a commit are combined into one change, and the state machine compares each write of a change with the state before it only. The last write of a target won, whatever its revision.

Change: the batcher and the leader compact a change to one write for an object, the one that would remain if they were applied in turn. A withdrawal without an incarnation reads the target from the leader.

Why it works: no change holds two writes of one object any more, and between changes the revision decides. The state machine is unchanged, so an old log and a mixed group give the same state.

--- a/internal/server/batch.go
+++ b/internal/server/batch.go
@@ -29,6 +29,28 @@
 	err     error
 }
 
+// compact returns the writes of a change with one write for each object, the one that would
+// remain if they were applied one after the other. The state machine compares each write with the
+// state before the change only, so that an earlier revision would replace a later one of
+// the same change.
+func compact(writes []*eelpb.Object) []*eelpb.Object {
+	type key struct{ kind, name string }
+	out := make([]*eelpb.Object, 0, len(writes))
+	position := make(map[key]int, len(writes))
+	for _, o := range writes {
+		k := key{o.Kind, o.Name}
+		i, ok := position[k]
+		switch {
+		case !ok:
+			position[k] = len(out)
+			out = append(out, o)
+		case o.Revision == 0 || o.Revision > out[i].Revision:
+			out[i] = o
+		}
+	}
+	return out
+}
+
 // enqueue adds writes to the next batch.
 func (g *batcher) enqueue(objects []*eelpb.Object) *batch {
 	g.mu.Lock()
@@ -73,7 +95,7 @@
 		}
 		b := s.batches.dequeue()
 		c, cancel := context.WithTimeout(ctx, batchTimeout)
-		r, err := s.submit(c, &eelpb.Change{Author: systemOwner, Objects: b.objects})
+		r, err := s.submit(c, &eelpb.Change{Author: systemOwner, Objects: compact(b.objects)})
 		cancel()
 		b.version, b.err = r.GetVersion(), err
 		close(b.done)
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -139,7 +139,8 @@
 		return errs.New("server.Withdraw", KindInvalid, err)
 	}
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(id))
-	if o == nil {
+	if o == nil || incarnation == 0 {
+		// The current incarnation may not be known here yet.
 		r, err := s.readLeader(ctx, model.ObjectTarget, string(id))
 		if err != nil {
 			return err
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -103,6 +103,74 @@
 	}
 }
 
+// A late announcement that is committed in the same change as a withdrawal does not undo it, in
+// whatever order they arrived. Compared with the state before the change only, both take effect
+// and the last one wins.
+func TestLateAnnouncementInSameChange(t *testing.T) {
+	write := func(sequence uint64, st model.TargetState) *eelpb.Object {
+		o, err := object(model.ObjectTarget, "t", revision(5, sequence), target(5, st))
+		assert.NilError(t, err)
+		return o
+	}
+	ready, draining, gone := write(2, model.TargetReady), write(3, model.TargetDraining), write(maxSequence, model.TargetGone)
+	removal := &eelpb.Object{Kind: string(model.ObjectTarget), Name: "t", Removed: true}
+	tests := []struct {
+		name   string
+		writes []*eelpb.Object
+		want   model.TargetState
+	}{
+		{"in order", []*eelpb.Object{ready, gone}, model.TargetGone},
+		{"late", []*eelpb.Object{gone, ready}, model.TargetGone},
+		{"late, after draining", []*eelpb.Object{draining, ready}, model.TargetDraining},
+		{"twice", []*eelpb.Object{gone, ready, gone, draining}, model.TargetGone},
+		{"removed as silent, and announced again", []*eelpb.Object{removal, ready}, model.TargetReady},
+		{"removed last", []*eelpb.Object{ready, removal}, ""},
+	}
+	s := newServer(t)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			for _, o := range []*eelpb.Object{removal, write(1, model.TargetReady)} {
+				_, err := s.submit(ctx, &eelpb.Change{Objects: []*eelpb.Object{o}})
+				assert.NilError(t, err)
+			}
+			_, err := s.submit(ctx, &eelpb.Change{Objects: tt.writes})
+			assert.NilError(t, err)
+			x, _ := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.Get("t")
+			assert.Equal(t, x.State, tt.want)
+			assert.Equal(t, len(compact(tt.writes)), 1)
+		})
+	}
+}
+
+// Announcements and withdrawals that arrive together are combined into one change. Once a
+// withdrawal is acknowledged, no announcement that was sent before it brings the target back.
+func TestWithdrawalBesideLateAnnouncements(t *testing.T) {
+	const targets = 20
+	s := newServer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	named := func(i int, cold model.Millis) model.Target {
+		x := target(5, model.TargetReady)
+		x.ID, x.Addr, x.ColdMillis = model.TargetID(fmt.Sprint("t", i)), fmt.Sprintf("10.0.0.1:%d", 8000+i), cold
+		return x
+	}
+	for round := range 5 {
+		var g errgroup.Group
+		for i := range targets {
+			x := named(round*targets+i, 3000)
+			assert.NilError(t, s.Announce(ctx, x, 1))
+			g.Go(func() error { return s.Withdraw(ctx, x.ID, 5) })
+			g.Go(func() error { return s.Announce(ctx, named(round*targets+i, 0), 2) })
+		}
+		assert.NilError(t, g.Wait())
+	}
+	for id, x := range state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.All() {
+		assert.Check(t, x.State == model.TargetGone, "%s is %s", id, x.State)
+	}
+}
+
 // An address is reused by another target. It belongs to the target that started last, even if
 // an announcement of the former one arrives late.
 func TestAddressReused(t *testing.T) {
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -32,6 +32,8 @@
 	if !t.s.o.Node.IsLeader() {
 		return nil, t.s.notLeader()
 	}
+	// The change may come from a replica of an earlier build, which does not compact it.
+	q.Objects = compact(q.Objects)
 	if isLowest(q) {
 		return t.s.create(ctx, q)
 	}
