Reject announcements with numbers and ports out of range

Reported by other operators: odd entries among those of the backends ended the machines that read them, or stopped them. Found on the way: ports out of range, missing or named, addresses of no single host, any number of slots, any time until warm and a start beyond 2^42 ms were answered 200 and stored.

Cause: the check looked at missing fields and types, not at ranges, and nothing checked again where an announcement is stored or read. The revision kept 42 bits of the start.

Change: model.Target.Check, used on arrival, at the commit and by readers; bounds for load reports, for the bodies of the project's own announcements and for operators' changes, whose token is checked first.

Why it works: no stored number leaves the range for which sums, revisions and timers are written.

--- a/internal/entry/announce.go
+++ b/internal/entry/announce.go
@@ -22,7 +22,8 @@
 	announceInterval model.Millis = 500
 	// reportTTL is how long after its last announcement a target is reported to the leader.
 	reportTTL = 5 * time.Second
-	maxSlots  = 100_000
+	// maxAnnouncementBytes limits the body of an announcement.
+	maxAnnouncementBytes = 64 << 10
 )
 
 // announcements holds the latest announcement of each target that announces to this entry,
@@ -128,7 +129,7 @@
 
 func (x *Entry) announce(c echo.Context) error {
 	var a wire.Announcement
-	if err := json.NewDecoder(c.Request().Body).Decode(&a); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxAnnouncementBytes)).Decode(&a); err != nil {
 		return c.JSON(http.StatusBadRequest, wire.Failure{Error: "announcement: " + err.Error()})
 	}
 	if err := x.checkAnnouncement(a); err != nil {
@@ -157,8 +158,8 @@
 	if err := setup.CheckAddr("addr", a.Addr); err != nil {
 		return err
 	}
-	if a.Slots <= 0 || a.Slots > maxSlots {
-		return fmt.Errorf("slots is %d, not from 1 to %d", a.Slots, maxSlots)
+	if a.Slots <= 0 || a.Slots > model.MaxSlots {
+		return fmt.Errorf("slots is %d, not from 1 to %d", a.Slots, model.MaxSlots)
 	}
 	switch a.State {
 	case wire.Starting, wire.Ready, wire.Draining:
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -46,6 +46,10 @@
 	Authorization: "Authorization", Workspace: "Eel-Workspace",
 }
 
+// maxReportedLoad bounds the numbers of a load report, so that sums and waits that are derived from
+// them do not overflow.
+const maxReportedLoad = 1_000_000
+
 // load is the load that a target reports.
 type load struct {
 	Running int `json:"running"`
@@ -65,7 +69,7 @@
 		if err != nil || v < 0 {
 			return load{}, false
 		}
-		n[i] = v
+		n[i] = min(v, maxReportedLoad)
 	}
 	return load{Running: n[0], Waiting: n[1], Slots: n[2]}, true
 }
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -20,6 +20,9 @@
 	"github.com/labstack/echo/v4"
 )
 
+// maxChangeBytes limits the body of an operator's change.
+const maxChangeBytes = 16 << 20
+
 // adminOwner is the author of changes made with the deployment's admin token.
 const adminOwner = model.OwnerID("admin")
 
@@ -69,14 +72,14 @@
 	if !s.o.Node.IsLeader() {
 		return s.respondMisdirected(c)
 	}
-	var q wire.Change
-	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
-		return s.respondError(c, http.StatusBadRequest, err)
-	}
 	author, ok := s.author(c.Request())
 	if !ok {
 		return s.respondError(c, http.StatusUnauthorized, errors.New("token is missing or belongs to no owner"))
 	}
+	var q wire.Change
+	if err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes)).Decode(&q); err != nil {
+		return s.respondError(c, http.StatusBadRequest, err)
+	}
 	p, err := s.prepare(q, author)
 	if err != nil {
 		return s.respondError(c, statusOf(err), err)
@@ -255,7 +258,7 @@
 		return s.respondError(c, http.StatusUnauthorized, errors.New("replicas are changed with the admin token"))
 	}
 	var q wire.ReplicaChange
-	if err := json.NewDecoder(c.Request().Body).Decode(&q); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, maxChangeBytes)).Decode(&q); err != nil {
 		return s.respondError(c, http.StatusBadRequest, err)
 	}
 	if err := s.changeReplica(c.Request().Context(), q); err != nil {
--- a/internal/server/invalid_test.go
+++ b/internal/server/invalid_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +79,9 @@
 		{Kind: "target", Name: "t", Owner: systemOwner, Spec: []byte(`{"addr":"10.0.0.1:80","slots":"x"}`), Revision: 5},
 		{Kind: "target", Name: "u", Owner: systemOwner, Spec: []byte(`{"addr":"10.0.0.1:80","later":1}`), Revision: 5},
 		{Kind: "target", Name: "v", Spec: []byte(`{}`)},
+		{Kind: "target", Name: "w", Owner: systemOwner, Spec: []byte(`{"service":"s","failureDomain":"a-1","addr":"10.0.0.1:80","slots":3,"state":"ready","incarnation":9223372036854775807}`), Revision: 5},
+		{Kind: "target", Name: "x", Owner: systemOwner, Spec: []byte(`{"service":"s","failureDomain":"a-1","addr":"10.0.0.1:99999","slots":3,"state":"ready"}`), Revision: 5},
+		{Kind: "target", Name: "y", Owner: systemOwner, Spec: []byte(`{"service":"s","failureDomain":"a-1","addr":"10.0.0.2:80","slots":9223372036854775807,"state":"ready"}`), Revision: 5},
 		{Kind: "moon", Name: "m", Owner: systemOwner, Spec: []byte(`{}`)},
 		{Kind: "drain", Name: "a-9", Owner: systemOwner, Spec: []byte(`{"failureDomain":"a-9"}`)},
 		{Kind: "drain", Name: "a:9", Owner: systemOwner, Spec: []byte(`{"failureDomain":"a:9"}`)},
@@ -99,3 +103,18 @@
 	checkServes(t, s, 3)
 	assert.Assert(t, !s.catalogue.HasInvalid(model.ObjectDrain))
 }
+
+// An announcement or withdrawal whose incarnation does not fit into a revision is rejected. Cut to
+// size, it would be ordered among those of other starts.
+func TestIncarnationOutOfRange(t *testing.T) {
+	s := newServer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, n := range []uint64{1 << model.IncarnationBits, 1<<63 + 7, math.MaxUint64} {
+		err := s.Announce(ctx, target(n, model.TargetReady), 1)
+		assert.Check(t, errs.Is(err, model.KindInvalid), "announcement of %d: %v", n, err)
+		err = s.Withdraw(ctx, "t", n)
+		assert.Check(t, errs.Is(err, model.KindInvalid), "withdrawal of %d: %v", n, err)
+	}
+	assert.NilError(t, s.Announce(ctx, target(1<<model.IncarnationBits-1, model.TargetReady), 1))
+}
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -52,7 +52,7 @@
 // Announce processes a target's announcement. It returns nil only if the announced state is
 // committed or the announcement is out of date.
 func (s *Server) Announce(ctx context.Context, t model.Target, sequence uint64) error {
-	if err := model.CheckName(string(t.ID)); err != nil {
+	if err := t.Check(); err != nil {
 		return errs.New("server.Announce", KindInvalid, err)
 	}
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(t.ID))
@@ -113,7 +113,7 @@
 	})
 	for _, o := range others {
 		x := model.Target{ID: model.TargetID(o.Name)}
-		if err := json.Unmarshal(o.Spec, &x); err != nil {
+		if err := json.Unmarshal(o.Spec, &x); err != nil || x.Check() != nil {
 			continue // It is left out of the catalogue, so it gets no requests.
 		}
 		if x.Addr != t.Addr || x.State == model.TargetGone {
@@ -135,7 +135,7 @@
 // Withdraw marks an incarnation of a target as gone, for good. Incarnation 0 means the
 // current one.
 func (s *Server) Withdraw(ctx context.Context, id model.TargetID, incarnation uint64) error {
-	if err := model.CheckName(string(id)); err != nil {
+	if err := (model.Target{ID: id, State: model.TargetGone, Incarnation: incarnation}).Check(); err != nil {
 		return errs.New("server.Withdraw", KindInvalid, err)
 	}
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(id))
@@ -149,7 +149,7 @@
 	}
 	t := model.Target{ID: id}
 	if o != nil {
-		if err := json.Unmarshal(o.Spec, &t); err != nil {
+		if err := json.Unmarshal(o.Spec, &t); err != nil || t.Check() != nil {
 			level.Warn(s.o.Log).Log("msg", "stored target not decoded", "target", id, "err", err)
 			t = model.Target{ID: id}
 		}
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -23,7 +23,7 @@
 	submitRetryInterval = 30 * time.Millisecond
 	// sequenceBits is the number of low bits of a target's revision that hold the
 	// sequence number of its announcement; the higher bits hold the incarnation.
-	sequenceBits = 22
+	sequenceBits = 64 - model.IncarnationBits
 	maxSequence  = 1<<sequenceBits - 1
 )
 
--- a/pkg/model/delta.go
+++ b/pkg/model/delta.go
@@ -218,5 +218,5 @@
 	if err := decode(o, &x); err != nil {
 		return x, fmt.Errorf("target: %w", err)
 	}
-	return x, nil
+	return x, x.check()
 }
