Keep a target in use whose address another writer announces

Cause: of two targets at one address the one that started later has it, whatever its service is.

Change: a target of a service that the routing does not name neither displaces one of a service that it names, nor is displaced by it. Before the first routing nothing changes.

Why it works: such an entry names no target that could get requests, so it needs no address. If the routing names its service later, the former target of a reused address has missed its heartbeats by then, and each request names the target that it is for.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -101,8 +101,21 @@
 
 // addressConflicts returns writes that withdraw the targets that used the address of t before
 // t started. If another target started at the address later, it returns that target's id
-// instead: then the announcement of t was delayed, and t has ended.
+// instead: then the announcement of t was delayed, and t has ended. A target of a service that
+// the routing does not name may be an announcement of another writer, and tells nothing of those
+// of the services that it names.
 func (s *Server) addressConflicts(t model.Target) ([]*eelpb.Object, model.TargetID, error) {
+	s.mu.Lock()
+	s.refresh()
+	routing := s.catalogue.Routing
+	s.mu.Unlock()
+	isRouted := func(n model.ServiceID) bool {
+		if routing == nil {
+			return true
+		}
+		_, ok := routing.Service(n)
+		return ok
+	}
 	addr, err := json.Marshal(t.Addr)
 	if err != nil {
 		return nil, "", errs.New("server.addressConflicts", KindInvalid, err)
@@ -116,7 +129,7 @@
 		if err := json.Unmarshal(o.Spec, &x); err != nil || x.Check() != nil {
 			continue // It is left out of the catalogue, so it gets no requests.
 		}
-		if x.Addr != t.Addr || x.State == model.TargetGone {
+		if x.Addr != t.Addr || x.State == model.TargetGone || isRouted(x.Service) != isRouted(t.Service) {
 			continue
 		}
 		if x.Incarnation > t.Incarnation {
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -199,6 +199,30 @@
 	assert.Equal(t, state("u"), model.TargetReady)
 }
 
+// Another writer announces a service that no routing names at the address of a target. The target
+// stays in use, and its own later announcements count.
+func TestAddressAnnouncedByAnotherWriter(t *testing.T) {
+	s := newServer(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	state := func(id model.TargetID) model.TargetState {
+		x, _ := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.Get(id)
+		return x.State
+	}
+	assert.NilError(t, s.PutRouting(ctx, &model.Routing{Revision: 1, Services: []model.RoutedService{{Name: "s"}, {Name: "s2"}}}, nil, []byte("{}")))
+	other := target(9, model.TargetReady)
+	other.ID, other.Service = "u", "metrics"
+	assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
+	assert.NilError(t, s.Announce(ctx, other, 1))
+	assert.Equal(t, state("t"), model.TargetReady)
+	assert.NilError(t, s.Announce(ctx, target(5, model.TargetDraining), 2))
+	assert.Equal(t, state("t"), model.TargetDraining)
+	// A target of a service of the routing does take over the address.
+	other.ID, other.Service = "v", "s2"
+	assert.NilError(t, s.Announce(ctx, other, 1))
+	assert.Equal(t, state("t"), model.TargetGone)
+}
+
 // An announcement without a change is not committed, nor is the countdown of a warm-up. Its
 // start, end or increase is.
 func TestUnchangedAnnouncementNotCommitted(t *testing.T) {
