Take a refusal without an id for an answer only if nothing came before it

A stray 421 also took the target out of use.

Cause: a refusal without an id was given the id of the request under way, on any connection. The project's own path took any 503 that sheds load, even with another id.

Change: such a refusal counts as the first response of its connection only. Later it is skipped like the response to another request; on the project's own path a request that runs at most once counts as possibly run.

Why it works: only on a connection without an earlier response can nothing else explain it.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -18,6 +18,8 @@
 	mu sync.Mutex
 	// sent is set when a check has passed, so that bytes may have been sent.
 	sent bool
+	// reused is set if the last connection had carried other requests before.
+	reused bool
 	// err is the result of the last check.
 	err error
 }
@@ -27,6 +29,9 @@
 // checked.
 func (g *sendGuard) attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		g.mu.Lock()
+		g.reused = i.Reused
+		g.mu.Unlock()
 		if c, ok := i.Conn.(*guardedConn); ok {
 			c.guard.Store(g)
 		}
@@ -44,6 +49,14 @@
 	return g.err
 }
 
+// isReused reports whether the connection of the request had carried other requests before. It is
+// valid once the HTTP client has returned.
+func (g *sendGuard) isReused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reused
+}
+
 // admit checks the request before a send.
 func (g *sendGuard) admit() error {
 	g.mu.Lock()
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -157,6 +157,9 @@
 	}
 	defer res.Body.Close()
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(wire.HeaderShed) != "" {
+		if !isShedOf(j, res, g.isReused()) {
+			return broken("target %q sheds another request", t.ID), pool.Failed
+		}
 		return refused(x.pools.get(j.service).EstimatedWait(), "target %q sheds load", t.ID), pool.Shed
 	}
 	b, err := x.whole(ctx, j, res, p)
@@ -168,6 +171,14 @@
 	return tryResult{kind: resultAnswered, answer: w}, pool.Succeeded
 }
 
+// isShedOf reports whether a refusal certainly refers to this request, or the request may run again.
+// On a connection that has carried other requests, a refusal without an id may be a late copy of an
+// earlier one while the target runs this request.
+func isShedOf(j *job, res *http.Response, reused bool) bool {
+	id := res.Header.Get(wire.HeaderRequestID)
+	return id == string(j.id) || id == "" && (!reused || !j.atMostOnce())
+}
+
 // neverReplay keeps the HTTP transport from resending a request on its own, which it does
 // for methods such as GET when a reused connection breaks.
 func neverReplay(q *http.Request) {
--- a/internal/fakes/target.go
+++ b/internal/fakes/target.go
@@ -257,6 +257,7 @@
 	t.mu.Unlock()
 	if f == FaultShed {
 		w.Header().Set(wire.HeaderShed, "1")
+		w.Header().Set(wire.HeaderRequestID, r.Header.Get(wire.HeaderRequestID))
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -184,8 +184,8 @@
 	if _, err := x.Write(q.encode()); err != nil {
 		return result{outcome: unknown, reason: "request not sent whole: " + err.Error()}, false
 	}
-	for range maxStrayResponses {
-		r, id, more, err := x.read(q)
+	for i := range maxStrayResponses {
+		r, id, more, err := x.read(q, i == 0 && !x.used)
 		if err != nil {
 			return result{outcome: unknown, reason: "answer not whole: " + err.Error()}, false
 		}
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -104,8 +104,9 @@
 const initialBufferBytes = 4 << 10
 
 // read reads one final response and returns its request id, and whether another response may
-// follow on the connection. After an error the connection cannot be reused.
-func (x *conn) read(q call) (r result, id string, reusable bool, err error) {
+// follow on the connection. isFirst means that the connection has carried no response before.
+// After an error the connection cannot be reused.
+func (x *conn) read(q call, isFirst bool) (r result, id string, reusable bool, err error) {
 	// Closing the body would read an endless one to its end; the connection is closed instead.
 	a, err := x.readHead(q.method) //nolint:bodyclose
 	if err != nil {
@@ -128,9 +129,10 @@
 	if a.Header.Get(q.headers.NotRun) != "" || a.StatusCode == http.StatusMisdirectedRequest {
 		r.outcome = notRun
 		r.wrongTarget = a.StatusCode == http.StatusMisdirectedRequest
-		if id == "" {
-			// A target may refuse a request before it has read the id. A second copy of such a
-			// response could not be told apart from the response to a later request.
+		if id == "" && isFirst {
+			// A target may refuse a request before it has read the id. On a connection that has
+			// carried a response, a refusal without an id may be a late copy of an earlier one, or
+			// other additional bytes, while the target runs the request.
 			id, reusable = q.id, false
 		}
 	}
