Take a forwarded answer for whole only if its length says so

Reported by other operators: a backend stopped in the middle of its answer's head, and clients got a 200 with a short body. Tried here on each path, with an answer that ends after each number of bytes. An end in the head is a failure everywhere. Found on the way: between entries, an answer without a length was taken for whole, and one over the bound of its class was cut to it and delivered as whole.

Cause: sendForward read up to the bound and did not look whether more follows, or for a length.

Change: answers of targets and of owners are read by one function, which needs a length or chunks and fails over the bound.

Why it works: the owner sends a length, so an answer that ends early misses it; an answer over the bound has an unknown outcome, which is true, and is not called an answer.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -77,9 +77,9 @@
 	if n, err := strconv.ParseInt(res.Header.Get(headerLoad), 10, 32); err == nil {
 		s.Gauge.Observe(int32(n), x.now())
 	}
-	b, err := io.ReadAll(io.LimitReader(res.Body, j.cls.MaxAnswerBytes+headerBytes))
+	b, err := readWhole(res, res.Body, j.cls.MaxAnswerBytes+headerBytes)
 	if err != nil {
-		return broken("answer of owner %q was cut: %v", s.VM, err)
+		return broken("answer of owner %q: %v", s.VM, err)
 	}
 	if res.Header.Get(headerRemainder) != "" {
 		if b, err = x.fetchRemainder(ctx, s, p, res.Header, b, j.cls.MaxAnswerBytes); err != nil {
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -192,15 +192,21 @@
 	if id := res.Header.Get(wire.HeaderRequestID); id != string(j.id) {
 		return nil, fmt.Errorf("answer carries request id %q, not %q", id, j.id)
 	}
+	return readWhole(res, x.paced(ctx, res.Body, p), j.cls.MaxAnswerBytes)
+}
+
+// readWhole reads the body of a response. It fails unless the body is certainly whole: a body
+// without a length may have been cut, and one over the bound is not read to its end.
+func readWhole(res *http.Response, body io.Reader, maxBytes int64) ([]byte, error) {
 	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
 		return nil, errors.New("answer has no length")
 	}
-	b, err := io.ReadAll(io.LimitReader(x.paced(ctx, res.Body, p), j.cls.MaxAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
 	if err != nil {
 		return nil, fmt.Errorf("answer was cut: %w", err)
 	}
-	if int64(len(b)) > j.cls.MaxAnswerBytes {
-		return nil, fmt.Errorf("answer is over %d bytes", j.cls.MaxAnswerBytes)
+	if int64(len(b)) > maxBytes {
+		return nil, fmt.Errorf("answer is over %d bytes", maxBytes)
 	}
 	return b, nil
 }
