Try a target again 30 s after another one responded at its address

After a 421 a target was out of use until it restarted or announced another address.

Cause: addressTaken had no end.

Change: it ends after 30 s. TestSignalsOfAnotherTarget checks the time in place of the flag, which is as strict.

Why it works: each request names its target, so one that reaches another target does not run, and keeps the target away for 30 s more.

--- a/internal/proxy/availability_test.go
+++ b/internal/proxy/availability_test.go
@@ -119,7 +119,7 @@
 	p := newProxy(w)
 	doRequestAs(p, "id-1", "/once/x")
 	x := p.registry.byID["t0"]
-	assert.Assert(t, x.addressTaken)
+	assert.Assert(t, x.addressTakenUntil > p.now())
 	assert.Assert(t, x.leavingAt == 0 && x.pausedUntil == 0)
 }
 
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -17,6 +17,10 @@
 	// time from 0 to initialUnreachedEjection, 2 s, is added after this cap.
 	initialEjection = 500 * time.Millisecond
 	maxEjection     = 4 * time.Second
+	// addressTakenTimeout is how long a target is out of use after another one responded at its
+	// address. A target that has ended is removed from the catalogue much earlier; one that is still
+	// listed may have been misjudged.
+	addressTakenTimeout = 30 * time.Second
 	// announcementDelay is an allowance for the delay of an announcement on its way to this VM.
 	announcementDelay = 500 * time.Millisecond
 )
@@ -53,8 +57,9 @@
 	respondedAt time.Duration
 	coldUntil   time.Duration
 	peerFailure peerFailure
-	// addressTaken means that another target responded at the address.
-	addressTaken bool
+	// addressTakenUntil is until when the target is out of use since another one responded at its
+	// address.
+	addressTakenUntil time.Duration
 	// outOfService means that the catalogue lists the target no more, or not as ready, or that its
 	// failure domain is drained.
 	outOfService bool
@@ -103,8 +108,8 @@
 
 // isAcceptingLocked is isAccepting for a caller that holds the lock.
 func (t *target) isAcceptingLocked(now time.Duration) bool {
-	return t.record.State == model.TargetReady && !t.outOfService && !t.addressTaken && t.leavingAt == 0 &&
-		now >= max(t.coldUntil, t.pausedUntil)
+	return t.record.State == model.TargetReady && !t.outOfService && t.leavingAt == 0 &&
+		now >= max(t.coldUntil, t.pausedUntil, t.addressTakenUntil)
 }
 
 // setInService records whether the catalogue lists the target for new requests. Requests that wait
@@ -212,7 +217,7 @@
 func (t *target) updateHealth(r result, now time.Duration) {
 	switch {
 	case r.wrongTarget:
-		t.addressTaken = true
+		t.addressTakenUntil = now + addressTakenTimeout
 	case r.isTargetFault() && r.outcome == unreached:
 		t.eject(initialUnreachedEjection, now)
 		t.peerReported = false
--- a/internal/proxy/trial_test.go
+++ b/internal/proxy/trial_test.go
@@ -82,3 +82,14 @@
 	assert.Assert(t, !servedWithin(t, newProxy(w), "/once/x", 2500*time.Millisecond))
 	assert.Assert(t, s.requests() >= 2 && s.requests() <= 3, "%d requests sent", s.requests())
 }
+
+// Another target responded at the address of a target. If that target is listed for much longer, it is
+// in use again: only a request can tell whether the address is its own again.
+func TestMisdirectedTargetTriedAgain(t *testing.T) {
+	p := newProxy(clusterOf(t, newFakeTarget(t, misdirected)))
+	assert.Equal(t, doRequestAs(p, "id-1", "/once/x").Code, http.StatusServiceUnavailable)
+	x := p.registry.byID["t0"]
+	now := p.now()
+	assert.Assert(t, !x.usable(now+addressTakenTimeout/2))
+	assert.Assert(t, x.usable(now+addressTakenTimeout+maxEjection))
+}
