Order the announcements of a target that is up for months

Cause: sequence numbers above 4,194,303 (72.8 days) were cut to that number, so that no announcement or withdrawal was newer than another.

Change: the number is added to the shifted incarnation and not cut; a withdrawal is above the highest number received or stored; an announcement of an incarnation that is gone is ignored. Numbers above 2^32 get a 400. Caches of targets that the catalogue no longer holds are emptied.

Numbers that fit have the revision that they had, so stored ones stay in order.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
+	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log/level"
 )
@@ -39,6 +42,8 @@
 	// lastHeartbeat is the time of each target's last heartbeat, kept by the leader of term.
 	lastHeartbeat map[string]time.Duration
 	term          raft.Term
+	// sequences holds the last announcement of each target that this replica received.
+	sequences map[model.TargetID]lastSequence
 	// decoded caches the decoded targets of the catalogue, by id.
 	decoded map[string]decoded
 }
@@ -55,12 +60,16 @@
 	if err := t.Check(); err != nil {
 		return errs.New("server.Announce", KindInvalid, err)
 	}
+	if err := model.CheckSequence(sequence); err != nil {
+		return errs.New("server.Announce", KindInvalid, err)
+	}
+	s.registry.recordSequence(t, sequence)
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(t.ID))
 	if o != nil && s.registry.isCommitted(o, t) {
 		s.registry.observe(string(t.ID))
 		return nil
 	}
-	if o != nil && revision(t.Incarnation, sequence) <= o.Revision {
+	if o != nil && (revision(t.Incarnation, sequence) <= o.Revision || s.registry.isGone(o, t.Incarnation)) {
 		level.Info(s.o.Log).Log("msg", "announcement ignored", "target", t.ID, "incarnation", t.Incarnation,
 			"sequence", sequence, "reason", "a later announcement is known")
 		return nil
@@ -136,7 +145,7 @@
 			return nil, x.ID, nil
 		}
 		x.State, x.ColdMillis = model.TargetGone, 0
-		n, err := object(model.ObjectTarget, o.Name, revision(x.Incarnation, maxSequence), x)
+		n, err := object(model.ObjectTarget, o.Name, s.registry.goneRevision(o, x), x)
 		if err != nil {
 			return nil, "", err
 		}
@@ -171,8 +180,11 @@
 		level.Info(s.o.Log).Log("msg", "withdrawal ignored", "target", id, "incarnation", incarnation, "held", t.Incarnation)
 		return nil
 	}
+	if t.State == model.TargetGone && incarnation <= t.Incarnation {
+		return nil // The withdrawal was sent again.
+	}
 	t.Incarnation, t.State, t.ColdMillis = max(t.Incarnation, incarnation), model.TargetGone, 0
-	n, err := object(model.ObjectTarget, string(id), revision(t.Incarnation, maxSequence), t)
+	n, err := object(model.ObjectTarget, string(id), s.registry.goneRevision(o, t), t)
 	if err != nil {
 		return err
 	}
@@ -184,25 +196,84 @@
 // revision returns a number that orders the announcements of a target by incarnation, then by
 // sequence.
 func revision(incarnation, sequence uint64) uint64 {
-	return incarnation<<sequenceBits | min(sequence, maxSequence)
+	r := incarnation << sequenceBits
+	return r + min(sequence, math.MaxUint64-r)
 }
 
-// isCommitted reports whether the catalogue already holds the announced state of a target.
-func (r *registry) isCommitted(o *eelpb.Object, t model.Target) bool {
+// lastSequence is the highest sequence number that this replica has received from a target.
+type lastSequence struct {
+	incarnation, sequence uint64
+}
+
+func (r *registry) recordSequence(t model.Target, sequence uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := r.sequences[t.ID]
+	if t.Incarnation < last.incarnation || t.Incarnation == last.incarnation && sequence <= last.sequence {
+		return
+	}
+	if r.sequences == nil {
+		r.sequences = map[model.TargetID]lastSequence{}
+	}
+	r.sequences[t.ID] = lastSequence{t.Incarnation, sequence}
+}
+
+// goneRevision returns the revision of the withdrawal of an incarnation, which is above those of its
+// announcements, also of some that are late. o is the stored object or nil.
+func (r *registry) goneRevision(o *eelpb.Object, t model.Target) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sequence := uint64(0)
+	if first := revision(t.Incarnation, 0); o.GetRevision() > first && o.GetRevision()-first <= model.MaxSequence {
+		sequence = o.GetRevision() - first
+	}
+	if last := r.sequences[t.ID]; last.incarnation == t.Incarnation {
+		sequence = max(sequence, last.sequence)
+	}
+	const lateFactor = 2
+	return revision(t.Incarnation, max(minGoneSequence, lateFactor*sequence))
+}
+
+// prune drops what is kept of targets that the catalogue no longer holds.
+func (r *registry) prune(m *state.Machine) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	maps.DeleteFunc(r.decoded, func(id string, _ decoded) bool { return m.Object(model.ObjectTarget, id) == nil })
+	maps.DeleteFunc(r.sequences, func(id model.TargetID, _ lastSequence) bool { return m.Object(model.ObjectTarget, string(id)) == nil })
+}
+
+// decode returns the target of an object, and whether it can be decoded; the caller holds the lock.
+func (r *registry) decode(o *eelpb.Object) (model.Target, bool) {
 	k, ok := r.decoded[o.Name]
 	if !ok || k.object != o {
-		k = decoded{object: o, target: model.Target{ID: t.ID}}
+		k = decoded{object: o, target: model.Target{ID: model.TargetID(o.Name)}}
 		if json.Unmarshal(o.Spec, &k.target) != nil {
-			return false
+			return k.target, false
 		}
 		if r.decoded == nil {
 			r.decoded = map[string]decoded{}
 		}
 		r.decoded[o.Name] = k
 	}
-	committed := k.target
+	return k.target, true
+}
+
+// isGone reports whether the catalogue holds the withdrawal of an incarnation.
+func (r *registry) isGone(o *eelpb.Object, incarnation uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	x, ok := r.decode(o)
+	return ok && x.State == model.TargetGone && incarnation <= x.Incarnation
+}
+
+// isCommitted reports whether the catalogue already holds the announced state of a target.
+func (r *registry) isCommitted(o *eelpb.Object, t model.Target) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	committed, ok := r.decode(o)
+	if !ok {
+		return false
+	}
 	// ColdMillis counts down while a target warms up. Only the start, the end or an increase
 	// is committed.
 	warming := t.ColdMillis > 0 && t.ColdMillis <= committed.ColdMillis
@@ -290,6 +361,7 @@
 func (s *Server) maintainTargets(ctx context.Context) {
 	c, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
+	s.registry.prune(s.o.Node.Machine())
 	ids := s.registry.takeUnreported()
 	term, _, ok := s.o.Node.Leadership()
 	if !ok {
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -112,7 +112,7 @@
 		assert.NilError(t, err)
 		return o
 	}
-	ready, draining, gone := write(2, model.TargetReady), write(3, model.TargetDraining), write(maxSequence, model.TargetGone)
+	ready, draining, gone := write(2, model.TargetReady), write(3, model.TargetDraining), write(minGoneSequence, model.TargetGone)
 	removal := &eelpb.Object{Kind: string(model.ObjectTarget), Name: "t", Removed: true}
 	tests := []struct {
 		name   string
@@ -171,6 +171,62 @@
 	}
 }
 
+// A target that has announced itself for longer than its revision has bits for the sequence number
+// drains, leaves and starts again. Cut to size, its announcements would all count as the same one.
+func TestAnnouncementsAfterLongUptime(t *testing.T) {
+	const ready, draining, gone = model.TargetReady, model.TargetDraining, model.TargetGone
+	const start, last = 1_764_800_000_000, 4_320_000
+	type step struct {
+		incarnation, sequence uint64
+		state                 model.TargetState
+	}
+	tests := []struct {
+		name  string
+		steps []step
+		state model.TargetState
+	}{
+		{"drains", []step{{start, last, ready}, {start, last + 1, draining}}, draining},
+		{"a late ready after draining", []step{{start, last, ready}, {start, last + 2, draining}, {start, last + 1, ready}}, draining},
+		{"leaves", []step{{start, last, ready}, {start, 0, gone}}, gone},
+		{"a late ready after it left", []step{{start, last, ready}, {start, 0, gone}, {start, last + 1, ready}}, gone},
+		{"leaves after its first announcement was committed", []step{{start, 1, ready}, {start, last, ready}, {start, 0, gone}, {start, last - 1, ready}}, gone},
+		{"the withdrawal is sent again", []step{{start, last, ready}, {start, 0, gone}, {start, 0, gone}}, gone},
+		{"starts again a second after it left", []step{{start, last, ready}, {start, 0, gone}, {start + 1500*last, 1, ready}}, ready},
+		{"grows beyond the bits while it is up", []step{{start, minGoneSequence - 1, ready}, {start, minGoneSequence, draining}, {start, minGoneSequence + 1, ready}}, ready},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			for _, x := range tt.steps {
+				if x.state == gone {
+					assert.NilError(t, s.Withdraw(ctx, "t", x.incarnation))
+					continue
+				}
+				assert.NilError(t, s.Announce(ctx, target(x.incarnation, x.state), x.sequence))
+			}
+			x, _ := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.Get("t")
+			assert.Equal(t, x.State, tt.state)
+		})
+	}
+}
+
+// The revisions of the starts of a target do not overlap, whatever the sequence numbers.
+func TestRevisionsInOrder(t *testing.T) {
+	var r registry
+	const start, interval = 1_764_800_000_000, 100
+	for _, sequence := range []uint64{0, 1, minGoneSequence - 1, minGoneSequence, minGoneSequence + 1, 1 << 30, model.MaxSequence} {
+		x := target(start, model.TargetReady)
+		r.recordSequence(x, sequence)
+		announced, gone := revision(start, sequence), r.goneRevision(nil, x)
+		assert.Assert(t, announced < revision(start, sequence+1))
+		assert.Assert(t, announced < gone, "sequence %d", sequence)
+		assert.Assert(t, gone < revision(start+interval*max(sequence, 10), 0), "sequence %d", sequence)
+		assert.Assert(t, sequence >= minGoneSequence || announced == start<<sequenceBits|sequence, "the revision of an earlier build differs")
+	}
+}
+
 // An address is reused by another target. It belongs to the target that started last, even if
 // an announcement of the former one arrives late.
 func TestAddressReused(t *testing.T) {
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -22,9 +22,12 @@
 	submitTimeout       = 900 * time.Millisecond
 	submitRetryInterval = 30 * time.Millisecond
 	// sequenceBits is the number of low bits of a target's revision that hold the
-	// sequence number of its announcement; the higher bits hold the incarnation.
+	// sequence number of its announcement; the higher bits hold the incarnation. Higher sequence
+	// numbers are added to the incarnation, which is a time in milliseconds: the next incarnation is
+	// later by far more than that.
 	sequenceBits = 64 - model.IncarnationBits
-	maxSequence  = 1<<sequenceBits - 1
+	// minGoneSequence is the lowest sequence number in the revision of a withdrawal.
+	minGoneSequence = 1<<sequenceBits - 1
 )
 
 // Submit commits a change that does not depend on a base version.
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -13,8 +13,19 @@
 	// IncarnationBits is the number of bits of an incarnation. A start time in milliseconds takes
 	// 41 bits until the year 2039, and 42 until 2109.
 	IncarnationBits = 42
+	// MaxSequence is the highest sequence number: that of a target that announces itself ten times
+	// a second for 13 years.
+	MaxSequence = 1 << 32
 )
 
+// CheckSequence returns an error if a sequence number is out of range.
+func CheckSequence(n uint64) error {
+	if n > MaxSequence {
+		return errs.Newf("model.CheckSequence", KindInvalid, "sequence %d is over %d", n, uint64(MaxSequence))
+	}
+	return nil
+}
+
 // Check returns an error if an announcement does not describe a target that can get requests. A
 // target that is gone needs a valid name only.
 func (t Target) Check() error {
