Commit that a target became cold again before it was warm

Cause: an increase of the remaining time was looked for against what was stored at the start of the warm-up, which is higher than what such a target announces.

Change: a replica compares with the last announcement that it received from the target.

Why it works: the remaining time only falls unless the target is cold anew, and sequence numbers tell late announcements.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -42,8 +42,8 @@
 	// lastHeartbeat is the time of each target's last heartbeat, kept by the leader of term.
 	lastHeartbeat map[string]time.Duration
 	term          raft.Term
-	// sequences holds the last announcement of each target that this replica received.
-	sequences map[model.TargetID]lastSequence
+	// announcements holds the last announcement of each target that this replica received.
+	announcements map[model.TargetID]announcement
 	// decoded caches the decoded targets of the catalogue, by id.
 	decoded map[string]decoded
 }
@@ -63,9 +63,12 @@
 	if err := model.CheckSequence(sequence); err != nil {
 		return errs.New("server.Announce", KindInvalid, err)
 	}
-	s.registry.recordSequence(t, sequence)
+	coldAgain := s.registry.recordAnnouncement(t, sequence)
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(t.ID))
-	if o != nil && s.registry.isCommitted(o, t) {
+	if o != nil && coldAgain {
+		t.ColdMillis = s.registry.distinctCold(o, t)
+	}
+	if o != nil && !coldAgain && s.registry.isCommitted(o, t) {
 		s.registry.observe(string(t.ID))
 		return nil
 	}
@@ -200,22 +203,37 @@
 	return r + min(sequence, math.MaxUint64-r)
 }
 
-// lastSequence is the highest sequence number that this replica has received from a target.
-type lastSequence struct {
+// announcement is the last announcement that this replica has received from a target.
+type announcement struct {
 	incarnation, sequence uint64
+	coldMillis            model.Millis
 }
 
-func (r *registry) recordSequence(t model.Target, sequence uint64) {
+// recordAnnouncement records an announcement unless it is late, and reports whether it says that a
+// target which was warming up has become cold again.
+func (r *registry) recordAnnouncement(t model.Target, sequence uint64) (coldAgain bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	last := r.sequences[t.ID]
-	if t.Incarnation < last.incarnation || t.Incarnation == last.incarnation && sequence <= last.sequence {
-		return
+	last, ok := r.announcements[t.ID]
+	if ok && (t.Incarnation < last.incarnation || t.Incarnation == last.incarnation && sequence <= last.sequence) {
+		return false
+	}
+	if r.announcements == nil {
+		r.announcements = map[model.TargetID]announcement{}
 	}
-	if r.sequences == nil {
-		r.sequences = map[model.TargetID]lastSequence{}
+	r.announcements[t.ID] = announcement{t.Incarnation, sequence, t.ColdMillis}
+	return ok && t.Incarnation == last.incarnation && t.ColdMillis > last.coldMillis
+}
+
+// distinctCold returns for how long a target that is cold again stays cold, such that it differs from
+// what is stored by a millisecond at least: readers tell by the difference that it is cold anew.
+func (r *registry) distinctCold(o *eelpb.Object, t model.Target) model.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if x, ok := r.decode(o); ok && x.ColdMillis == t.ColdMillis {
+		return t.ColdMillis + 1
 	}
-	r.sequences[t.ID] = lastSequence{t.Incarnation, sequence}
+	return t.ColdMillis
 }
 
 // goneRevision returns the revision of the withdrawal of an incarnation, which is above those of its
@@ -227,7 +245,7 @@
 	if first := revision(t.Incarnation, 0); o.GetRevision() > first && o.GetRevision()-first <= model.MaxSequence {
 		sequence = o.GetRevision() - first
 	}
-	if last := r.sequences[t.ID]; last.incarnation == t.Incarnation {
+	if last := r.announcements[t.ID]; last.incarnation == t.Incarnation {
 		sequence = max(sequence, last.sequence)
 	}
 	const lateFactor = 2
@@ -239,7 +257,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	maps.DeleteFunc(r.decoded, func(id string, _ decoded) bool { return m.Object(model.ObjectTarget, id) == nil })
-	maps.DeleteFunc(r.sequences, func(id model.TargetID, _ lastSequence) bool { return m.Object(model.ObjectTarget, string(id)) == nil })
+	maps.DeleteFunc(r.announcements, func(id model.TargetID, _ announcement) bool { return m.Object(model.ObjectTarget, string(id)) == nil })
 }
 
 // decode returns the target of an object, and whether it can be decoded; the caller holds the lock.
@@ -275,7 +293,7 @@
 		return false
 	}
 	// ColdMillis counts down while a target warms up. Only the start, the end or an increase
-	// is committed.
+	// is committed; Announce finds an increase that is still below what is stored.
 	warming := t.ColdMillis > 0 && t.ColdMillis <= committed.ColdMillis
 	if warming {
 		committed.ColdMillis = t.ColdMillis
