Refuse requests that a planned stop would cut

Cause: a stopping entry took new requests for half of its grace, whatever time they might take.

Why it works: what is taken ends before the cut by its own deadline. With a grace of 6 s or less nothing changes.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -33,6 +33,9 @@
 	// stopMargin is the reserve before the platform kills a process that has not stopped.
 	stopMargin       = 500 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
+	// serveAllPeriod is how long after the stop signal every new request is served: for so long,
+	// callers may not know of the stop.
+	serveAllPeriod = 3 * time.Second
 	// bufferDivisor sets the part of the memory limit that buffered responses may use,
 	// 1/bufferDivisor: a growing buffer is copied and so needs more than its size.
 	bufferDivisor = 8
@@ -84,13 +87,17 @@
 
 // stopEntry takes the entry out of service. The entry reports that it is not ready and
 // leaves the directory, serves new requests for half of the grace, refuses them for the
-// remainder, and stops when no request is in progress. Requests that still wait for a
-// target near the end are refused while there is time to send the response.
+// remainder, and stops when no request is in progress. Requests that arrive later than
+// serveAllPeriod are served only if they are certain to end in time, however long they take.
+// Requests that still wait for a target near the end are refused while there is time to send
+// the response.
 func (d *daemon) stopEntry(x *entry.Entry, f *proxy.Proxy, grace time.Duration) {
 	start := time.Now()
 	f.Drain()
 	x.AnnounceLeave()
-	time.Sleep(grace / 2)
+	time.Sleep(min(grace/2, serveAllPeriod))
+	f.FinishWithin(grace - 3*stopMargin - time.Since(start))
+	time.Sleep(grace/2 - time.Since(start))
 	f.Refuse()
 	wait := func(limit time.Duration) {
 		for time.Since(start) < limit && f.InFlight() > 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -155,6 +155,8 @@
 	g              *group.Group
 	draining       atomic.Bool
 	refusing       atomic.Bool
+	// finishBy is until when new requests must be answered at the latest, or 0.
+	finishBy atomic.Int64
 	// dispatchStopped is closed when no more requests are sent to targets.
 	dispatchStopped chan struct{}
 	stopOnce        sync.Once
@@ -198,6 +200,9 @@
 // Drain makes callers close their connections after the next response.
 func (p *Proxy) Drain() { p.draining.Store(true) }
 
+// FinishWithin refuses new requests that may take longer than d from now until they are answered.
+func (p *Proxy) FinishWithin(d time.Duration) { p.finishBy.Store(int64(p.now() + d)) }
+
 // Refuse rejects all further requests: they have not run and never will.
 func (p *Proxy) Refuse() { p.refusing.Store(true) }
 
