Bound the memory for large request bodies

Cause: bodies were read into doubling buffers and copied for each send, without a bound over all requests.

Change: large bodies share three eighths of the memory limit; one that does not fit gets a 503 at once. They are kept in parts that are not copied, and read until the request's deadline at the latest (408).

Why it works: no byte of a large body is kept without a reservation, and one copy is all there is.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -39,6 +39,9 @@
 	// bufferDivisor sets the part of the memory limit that buffered responses may use,
 	// 1/bufferDivisor: a growing buffer is copied and so needs more than its size.
 	bufferDivisor = 8
+	// maxBodyFraction is the part of the memory limit that large request bodies may use: one of
+	// 64 MiB fits into that of a VM with 184 MB.
+	maxBodyFraction = 0.375
 )
 
 func runEntry(d *daemon) error {
@@ -59,7 +62,7 @@
 		Gossip: proxy.GossipOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, Cluster: x, Headers: platform.Headers, Log: d.l, Dial: dialer(d.o, s, targetDialTimeout),
 		KeyLife: s.KeyLife, Allowances: x, AllowanceWindow: s.AllowanceWindow,
-		MaxStaleness: maxStaleness, FreshTimeout: freshTimeout, HeartbeatInterval: s.Heartbeat, MaxBufferedBytes: (s.MemoryMB << 20) / bufferDivisor,
+		MaxStaleness: maxStaleness, FreshTimeout: freshTimeout, HeartbeatInterval: s.Heartbeat, MaxBufferedBytes: (s.MemoryMB << 20) / bufferDivisor, MaxBodyBytes: int64(maxBodyFraction * float64(s.MemoryMB<<20)),
 		Budget: proxy.BudgetOptions{Ratio: s.RetryRatio * retryRatioFraction, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
 	d.serveMetrics(func() any { return entryMetrics{x.Metrics(), f.Metrics()} })
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -32,7 +32,7 @@
 type call struct {
 	method, uri, host string
 	header            http.Header
-	body              []byte
+	body              requestBody
 	id                string
 	target            model.TargetID
 	remaining         time.Duration
@@ -181,7 +181,7 @@
 }
 
 func (x *conn) exchange(q call) (result, bool) {
-	if _, err := x.Write(q.encode()); err != nil {
+	if err := q.body.writeTo(x.Conn, q.encodeHead()); err != nil {
 		return result{outcome: unknown, reason: "request not sent whole: " + err.Error()}, false
 	}
 	for i := range maxStrayResponses {
@@ -200,8 +200,8 @@
 	return result{outcome: unknown, reason: "the connection carries answers to other requests"}, false
 }
 
-// encode returns the request in wire format.
-func (q call) encode() []byte {
+// encodeHead returns the head of the request in wire format.
+func (q call) encodeHead() []byte {
 	var b bytes.Buffer
 	h := endToEnd(q.header)
 	h.Set(q.headers.Deadline, strconv.FormatInt(max(1, q.remaining.Milliseconds()), 10))
@@ -210,13 +210,12 @@
 	h.Del("Host")
 	h.Del("Expect")
 	b.WriteString(q.method + " " + q.uri + " HTTP/1.1\r\nHost: " + q.host + "\r\n")
-	if len(q.body) > 0 || q.method == http.MethodPost || q.method == http.MethodPut || q.method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(q.body)) + "\r\n")
+	if n := q.body.len(); n > 0 || q.method == http.MethodPost || q.method == http.MethodPut || q.method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.FormatInt(n, 10) + "\r\n")
 	}
 	// Writing to a buffer does not fail.
 	_ = h.Write(&b)
 	b.WriteString("\r\n")
-	b.Write(q.body)
 	return b.Bytes()
 }
 
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -13,7 +13,7 @@
 	method, uri, host string
 	id                string
 	header            http.Header
-	body              []byte
+	body              requestBody
 
 	// access holds the caller's identity and workspace.
 	access access
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,11 +116,17 @@
 	// MaxBufferedBytes limits the memory for large responses that are buffered at the same time,
 	// over all requests; 0 means DefaultMaxBufferedBytes.
 	MaxBufferedBytes int64
+	// MaxBodyBytes limits the memory for large request bodies in the same way; 0 means
+	// DefaultMaxBodyBytes.
+	MaxBodyBytes int64
 }
 
 // DefaultMaxBufferedBytes is the default of Options.MaxBufferedBytes.
 const DefaultMaxBufferedBytes = 64 << 20
 
+// DefaultMaxBodyBytes is the default of Options.MaxBodyBytes.
+const DefaultMaxBodyBytes = 128 << 20
+
 // sweepInterval is the time between two checks of idle connections.
 const sweepInterval = time.Second
 
@@ -150,6 +156,7 @@
 	estimators     estimators
 	metrics        *metrics
 	responseMemory *semaphore.Weighted
+	bodyMemory     *semaphore.Weighted
 	gossiper       *gossip.Agent
 	reporters      reporters
 	g              *group.Group
@@ -169,9 +176,13 @@
 	if o.MaxBufferedBytes == 0 {
 		o.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
+	if o.MaxBodyBytes == 0 {
+		o.MaxBodyBytes = DefaultMaxBodyBytes
+	}
 	p := &Proxy{
 		o: o, now: clock.Stopwatch(), metrics: newMetrics(), responseMemory: semaphore.NewWeighted(o.MaxBufferedBytes),
-		g: group.New(context.Background()), dispatchStopped: make(chan struct{}),
+		bodyMemory: semaphore.NewWeighted(o.MaxBodyBytes),
+		g:          group.New(context.Background()), dispatchStopped: make(chan struct{}),
 	}
 	p.registry.init(o, p.now)
 	p.retryBudgets = retryBudgets{o: o.Budget, m: map[model.ServiceID]*limit.Ratio{}}
@@ -240,8 +251,9 @@
 	}
 	p.metrics.inFlight.Add(1)
 	defer p.metrics.inFlight.Add(-1)
-	q := p.newRequest(r)
+	q := p.newRequest(w, r)
 	defer q.reservation.release()
+	defer q.bodyReservation.release()
 	a := p.handle(q)
 	p.finish(w, q, a)
 }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -39,13 +41,14 @@
 // request is one attempt of a caller that the proxy serves.
 type request struct {
 	r        *http.Request
+	w        http.ResponseWriter
 	id       string
 	object   string
 	start    time.Duration
 	deadline time.Duration
 	// overrun is how long after the deadline a target may still work on the request.
 	overrun time.Duration
-	body    []byte
+	body    requestBody
 	route   model.Route
 	access  access
 	service model.ServiceID
@@ -59,6 +62,8 @@
 	version     model.Version
 	state       sendState
 	reservation memoryReservation
+	// bodyReservation is the memory reserved for the request's body.
+	bodyReservation memoryReservation
 	// failedResponse is a target's failure response, kept while a retry may still get a better
 	// one.
 	failedResponse *response
@@ -81,8 +86,8 @@
 	noReply bool
 }
 
-func (p *Proxy) newRequest(r *http.Request) *request {
-	return &request{r: r, id: r.Header.Get(p.o.Headers.RequestID), object: r.Header.Get(p.o.Headers.Object), start: p.now(), reservation: memoryReservation{pool: p.responseMemory}}
+func (p *Proxy) newRequest(w http.ResponseWriter, r *http.Request) *request {
+	return &request{r: r, w: w, id: r.Header.Get(p.o.Headers.RequestID), object: r.Header.Get(p.o.Headers.Object), start: p.now(), reservation: memoryReservation{pool: p.responseMemory}, bodyReservation: memoryReservation{pool: p.bodyMemory}}
 }
 
 // localResponse returns a response that the proxy itself produces.
@@ -175,18 +180,42 @@
 	if q.r.ContentLength == 0 {
 		return response{}, true
 	}
-	b, err := io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	if err != nil {
+	b, err := q.readBodyInTime(limit)
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return q.localResponse(http.StatusRequestTimeout, "the body did not arrive before the deadline"), false
+	case errors.Is(err, errTooLong):
+		return q.localResponse(http.StatusRequestEntityTooLarge, "body is too large"), false
+	case errors.Is(err, errNoMemory):
+		return q.refusal("large bodies of other requests fill the memory that is kept for them", retryDelay), false
+	case err != nil:
 		q.outcome = callerLeft
 		return q.localResponse(http.StatusBadRequest, "body was cut: "+err.Error()), false
 	}
-	if int64(len(b)) > limit {
-		return q.localResponse(http.StatusRequestEntityTooLarge, "body is too large"), false
-	}
 	q.body = b
 	return response{}, true
 }
 
+// readBodyInTime reads the body until the deadline of the request at the latest, so that a caller who
+// stops sending does not keep the memory for a large one.
+func (q *request) readBodyInTime(limit int64) (requestBody, error) {
+	read := func() (requestBody, error) { return q.bodyReservation.readBody(q.r.Body, q.r.ContentLength, limit) }
+	if q.r.ContentLength >= 0 && q.r.ContentLength <= unreservedBytes {
+		return read()
+	}
+	c := http.NewResponseController(q.w)
+	if err := c.SetReadDeadline(time.Now().Add(q.deadline - q.start)); err != nil {
+		return read() // The writer has no deadlines.
+	}
+	b, err := read()
+	if err != nil {
+		// The server reads the rest of a body before it responds, which the deadline ends too.
+		return nil, err
+	}
+	// The server looks for the end of the connection while the request is served.
+	return b, c.SetReadDeadline(time.Time{})
+}
+
 // hashFraction maps a name to a number from 0 to 1, always the same for the same name.
 func hashFraction(name string) float64 {
 	const mantissaSteps, unusedBits = 1 << 53, 11
