Bound the requests of all VMs together that run without a credit

Cause: each VM admits two requests of a workspace without a credit at least, whatever the number of VMs.

Change: the minimum holds only while it comes to half of the maximum at most over all VMs.

Why it works: what is admitted without the leader's knowledge no longer grows with the number of VMs.

--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -32,9 +32,11 @@
 	rateWindow = time.Second
 	// uncreditedDivisor times the number of VMs divides the maximum of a window to give the
 	// number of requests of a workspace that a VM admits without a credit. minUncredited is
-	// the minimum of that number.
-	uncreditedDivisor = 4
-	minUncredited     = 2
+	// the minimum of that number, unless it comes to more than 1/maxUncreditedDivisor of the
+	// maximum over all VMs: they may all admit so many at the same time.
+	uncreditedDivisor    = 4
+	minUncredited        = 2
+	maxUncreditedDivisor = 2
 	// responseTimeout is how long after its last confirmed report a VM switches to its
 	// fallback share: a renewal was lost, and the ledger already counts the share as used.
 	responseTimeout = 1500 * time.Millisecond
@@ -83,7 +85,7 @@
 	}
 	x.requested.add(now)
 	x.used.advance(now)
-	v := x.decide(now < m.confirmedReportAt+responseTimeout, max(minUncredited, maxRequests/(uncreditedDivisor*max(1, vms))))
+	v := x.decide(now < m.confirmedReportAt+responseTimeout, uncredited(maxRequests, vms))
 	if v != Admitted {
 		x.exhausted = v == Exhausted
 		return v
@@ -94,6 +96,13 @@
 	return Admitted
 }
 
+// uncredited returns the number of requests in a window that one of several VMs may admit without a
+// credit.
+func uncredited(maxRequests, vms int) int {
+	vms = max(1, vms)
+	return min(max(minUncredited, maxRequests/(uncreditedDivisor*vms)), maxRequests/(maxUncreditedDivisor*vms))
+}
+
 // decide decides on a request. responded means that the leader has responded recently; without
 // it, the fallback share applies. uncredited is the number of requests in a window that may be
 // admitted without a credit.
