--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -38,14 +38,14 @@
 		}
 		p, err := fill(r, make([]byte, size))
 		total += int64(len(p))
-		switch {
-		case total > maxBytes:
+		if total > maxBytes {
 			return nil, errTooLong
-		case err != nil && !errors.Is(err, io.EOF):
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, err
 		}
 		b = append(b, p)
-		if err != nil {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 	}
--- a/internal/proxy/body_test.go
+++ b/internal/proxy/body_test.go
@@ -61,7 +61,7 @@
 // Read without a bound, they ended the process, beside all requests in progress.
 func TestLargeBodiesAtTheSameTime(t *testing.T) {
 	const pool, size, uploads = 8 << 20, 5 << 20, 6
-	s := newFakeTarget(t, after(300*time.Millisecond, okResponse))
+	s := newFakeTarget(t, okAfter(300*time.Millisecond))
 	w := clusterOf(t, s)
 	o := newProxy(w).o
 	o.MaxBodyBytes = pool
@@ -131,7 +131,7 @@
 // says it has not run, and the memory for its body is free again. One that was sent in time is served on
 // the same connection for longer than the body had.
 func TestStalledBody(t *testing.T) {
-	s := newFakeTarget(t, after(400*time.Millisecond, okResponse))
+	s := newFakeTarget(t, okAfter(400*time.Millisecond))
 	w := clusterOf(t, s)
 	w.setRoutes(func(r *model.Route) { r.TimeoutMillis = 700 })
 	p := newProxy(w)
@@ -150,6 +150,7 @@
 		assert.NilError(t, err)
 		_, err = io.Copy(io.Discard, r.Body)
 		assert.NilError(t, err)
+		assert.NilError(t, r.Body.Close())
 		assert.Equal(t, r.StatusCode, http.StatusOK)
 	}
 	_, err = io.WriteString(c, head+body[:50_000])
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -49,8 +49,8 @@
 	afterSeparator = "|"
 )
 
-// after returns a line that the target sends after a while.
-func after(d time.Duration, line string) string { return d.String() + afterSeparator + line }
+// okAfter returns a line by which the target sends okResponse after a while.
+func okAfter(d time.Duration) string { return d.String() + afterSeparator + okResponse }
 
 func newFakeTarget(t *testing.T, script ...string) *fakeTarget {
 	t.Helper()
--- a/internal/proxy/trial_test.go
+++ b/internal/proxy/trial_test.go
@@ -45,7 +45,7 @@
 	}{{"idempotent", "/safe/x", false}, {"at most once", "/once/x", false}, {"with affinity", "/safe/x", true}}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			slow, fast := after(600*time.Millisecond, okResponse), after(50*time.Millisecond, okResponse)
+			slow, fast := okAfter(600*time.Millisecond), okAfter(50*time.Millisecond)
 			s := newFakeTarget(t, slow, slow, slow, slow, slow, slow, fast)
 			w := clusterOf(t, s)
 			w.setRoutes(func(r *model.Route) { r.Affinity = tt.affinity })
@@ -76,7 +76,7 @@
 // While targets are too slow for a route's timeout, requests are refused at once. Only a few are
 // sent, to find out whether that still holds.
 func TestFewRequestsOnTrial(t *testing.T) {
-	s := newFakeTarget(t, after(time.Second, okResponse))
+	s := newFakeTarget(t, okAfter(time.Second))
 	w := clusterOf(t, s)
 	w.setRoutes(func(r *model.Route) { r.ObjectiveMillis, r.TimeoutMillis = 2000, 100 })
 	assert.Assert(t, !servedWithin(t, newProxy(w), "/once/x", 2500*time.Millisecond))
