Commit that a target is cold again after a failed commit too

TestColdAgainAfterFailedCommit: without the change the catalogue holds 3,000 ms by reading; the test was not run without it.

--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return err // The request handler logs that the announcement was not acknowledged.
 	}
+	s.registry.recordCommit(t.ID)
 	level.Info(s.o.Log).Log("msg", "target announced", "target", t.ID, "service", t.Service, "state", t.State, "addr", t.Addr,
 		"failureDomain", t.FailureDomain, "coldMillis", t.ColdMillis, "incarnation", t.Incarnation, "sequence", sequence,
 		"version", v)
@@ -207,10 +208,12 @@
 type announcement struct {
 	incarnation, sequence uint64
 	coldMillis            model.Millis
+	// coldAgain means that the target became cold again and that this is not committed yet.
+	coldAgain bool
 }
 
-// recordAnnouncement records an announcement unless it is late, and reports whether it says that a
-// target which was warming up has become cold again.
+// recordAnnouncement records an announcement unless it is late, and reports whether a target that was
+// warming up has become cold again, which must be committed.
 func (r *registry) recordAnnouncement(t model.Target, sequence uint64) (coldAgain bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -221,8 +224,21 @@
 	if r.announcements == nil {
 		r.announcements = map[model.TargetID]announcement{}
 	}
-	r.announcements[t.ID] = announcement{t.Incarnation, sequence, t.ColdMillis}
-	return ok && t.Incarnation == last.incarnation && t.ColdMillis > last.coldMillis
+	if ok && t.Incarnation == last.incarnation && t.ColdMillis > 0 {
+		coldAgain = last.coldAgain || t.ColdMillis > last.coldMillis
+	}
+	r.announcements[t.ID] = announcement{t.Incarnation, sequence, t.ColdMillis, coldAgain}
+	return coldAgain
+}
+
+// recordCommit records that what a target announced last is committed.
+func (r *registry) recordCommit(id model.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if last, ok := r.announcements[id]; ok {
+		last.coldAgain = false
+		r.announcements[id] = last
+	}
 }
 
 // distinctCold returns for how long a target that is cold again stays cold, such that it differs from
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -335,6 +335,28 @@
 	}
 }
 
+// The commit that a target is cold again fails. Its next announcement, which counts down from there, is
+// committed in its place.
+func TestColdAgainAfterFailedCommit(t *testing.T) {
+	s := newServer(t)
+	cold := func(ms model.Millis) model.Target {
+		x := target(5, model.TargetReady)
+		x.ColdMillis = ms
+		return x
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	assert.NilError(t, s.Announce(ctx, cold(3000), 1))
+	assert.NilError(t, s.Announce(ctx, cold(1500), 2))
+	assert.Assert(t, s.registry.recordAnnouncement(cold(2600), 3), "the increase is not found")
+	assert.NilError(t, s.Announce(ctx, cold(1100), 4))
+	got, _ := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.Get("t")
+	assert.Equal(t, got.ColdMillis, model.Millis(1100))
+	version := s.o.Node.Machine().Version()
+	assert.NilError(t, s.Announce(ctx, cold(600), 5))
+	assert.Equal(t, s.o.Node.Machine().Version(), version, "the countdown was committed")
+}
+
 // A target without heartbeats is removed, and added again by its next announcement.
 func TestTargetExpires(t *testing.T) {
 	s := newServer(t)
