--- a/internal/server/invalid_test.go
+++ b/internal/server/invalid_test.go
@@ -67,10 +67,11 @@
 	checkServes(t, s, 100)
 }
 
-// A replica that starts with invalid objects in its state, which an earlier build committed,
-// applies all others: it renews leases, and targets and operators can replace the objects.
+// A replica whose log holds invalid objects, which an earlier build committed, applies all others, also
+// after a restart: it renews leases, and targets and operators can replace the objects.
 func TestInvalidObjectsInState(t *testing.T) {
-	s := newServer(t)
+	dir := t.TempDir()
+	s, closeServer := startServer(t, dir)
 	waitDomains(t, s)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
@@ -89,6 +90,12 @@
 	_, err := s.submit(ctx, &eelpb.Change{Author: systemOwner, Objects: stored})
 	assert.NilError(t, err)
 	checkServes(t, s, 1)
+	closeServer()
+	s, closeServer = startServer(t, dir)
+	defer closeServer()
+	for s.o.Node.Machine().Object("moon", "m") == nil {
+		time.Sleep(time.Millisecond)
+	}
 	assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
 	assert.NilError(t, s.Withdraw(ctx, "u", 0))
 	assert.NilError(t, s.SetDrain(ctx, "a-1", true))
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -34,7 +34,15 @@
 // newServer returns the server of a group of one replica that leads.
 func newServer(t *testing.T) *Server {
 	t.Helper()
-	n, err := node.New(node.Options{ID: 1, Dir: t.TempDir(), Addr: "1", Peers: []node.Peer{{ID: 1, Addr: "1"}}, Transport: noPeers{}, Log: log.NewNopLogger()})
+	s, closeServer := startServer(t, t.TempDir())
+	t.Cleanup(closeServer)
+	return s
+}
+
+// startServer starts the server of a replica with the data in a folder, and waits until it leads.
+func startServer(t *testing.T, dir string) (*Server, func()) {
+	t.Helper()
+	n, err := node.New(node.Options{ID: 1, Dir: dir, Addr: "1", Peers: []node.Peer{{ID: 1, Addr: "1"}}, Transport: noPeers{}, Log: log.NewNopLogger()})
 	assert.NilError(t, err)
 	s, err := New(Options{
 		Node: n, Key: auth.NewKey("k"), Log: log.NewNopLogger(), Addr: "1", Peers: NewPeers(auth.NewKey("k"), nil),
@@ -44,14 +52,13 @@
 		Heartbeat: 100 * time.Millisecond,
 	})
 	assert.NilError(t, err)
-	t.Cleanup(func() {
-		assert.NilError(t, s.Close())
-		assert.NilError(t, n.Close())
-	})
 	for !n.IsLeader() {
 		time.Sleep(time.Millisecond)
 	}
-	return s
+	return s, func() {
+		assert.NilError(t, s.Close())
+		assert.NilError(t, n.Close())
+	}
 }
 
 func target(incarnation uint64, st model.TargetState) model.Target {
