Receive signals from the start of the process on

Callers saw: nothing yet.

Cause: signals were handled once all servers had been started; before, SIGTERM and also SIGHUP ended the process.

Change: the first statement of the program receives signals; wait handles those that came before it.

Why it works: a signal that was received during the start waits in its channel. What remains is the time before the first statement.

--- a/cmd/eelplat/daemon.go
+++ b/cmd/eelplat/daemon.go
@@ -39,6 +39,8 @@
 	l    log.Logger
 	key  *auth.Key
 	dial setup.Dialer
+	// signals are those that wait handles.
+	signals signals
 
 	mu       sync.Mutex
 	settings *platform.Settings
@@ -47,7 +49,20 @@
 	failed   chan error
 }
 
-func newDaemon(o options, s *platform.Settings, l log.Logger) (*daemon, error) {
+// signals receives the signals of the process. It is created first of all: a signal that arrives
+// before that ends the process at once, also SIGHUP, which only says that the settings changed.
+type signals struct {
+	stop, reload chan os.Signal
+}
+
+func receiveSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func newDaemon(o options, s *platform.Settings, l log.Logger, sig signals) (*daemon, error) {
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit((s.MemoryMB << 20) * (memoryLimitDivisor - 1) / memoryLimitDivisor)
 	}
@@ -55,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &daemon{o: o, l: l, key: auth.NewKey(o.Key), settings: s, raw: raw, failed: make(chan error, 1), dial: dialer(o, s, dialTimeout)}, nil
+	return &daemon{o: o, l: l, signals: sig, key: auth.NewKey(o.Key), settings: s, raw: raw, failed: make(chan error, 1), dial: dialer(o, s, dialTimeout)}, nil
 }
 
 func (d *daemon) current() *platform.Settings {
@@ -153,22 +168,18 @@
 // wait returns on a stop signal, the failure of a server or the end of the replica. Until
 // then it reloads changed settings.
 func (d *daemon) wait(done <-chan struct{}, changed func(*platform.Settings)) error {
-	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	t := time.NewTicker(settingsPollInterval)
 	defer t.Stop()
 	for {
 		select {
-		case s := <-stop:
+		case s := <-d.signals.stop:
 			level.Info(d.l).Log("msg", "stopping", "signal", s)
 			return nil
 		case err := <-d.failed:
 			return err
 		case <-done:
 			return errors.New("state replica stopped without a signal")
-		case <-reload:
+		case <-d.signals.reload:
 			d.reload(changed, "signal")
 		case <-t.C:
 			d.reload(changed, "file")
--- a/cmd/eelplat/main.go
+++ b/cmd/eelplat/main.go
@@ -38,6 +38,7 @@
 }
 
 func main() {
+	sig := receiveSignals()
 	var o options
 	setup.Parse(program, &o, os.Args[1:])
 	if o.Version {
@@ -65,7 +66,7 @@
 	if err != nil {
 		setup.Fatal(program, fmt.Errorf("--log-level: %w", err))
 	}
-	err = run(o, s, l)
+	err = run(o, s, l, sig)
 	if err != nil {
 		level.Error(l).Log("msg", "stopped", "err", err)
 	}
@@ -91,10 +92,10 @@
 	return nil
 }
 
-func run(o options, s *platform.Settings, l log.Logger) error {
+func run(o options, s *platform.Settings, l log.Logger, sig signals) error {
 	level.Info(l).Log("msg", "starting", "role", o.Args.Role, "version", setup.Version, "failureDomain", s.Domain,
 		"seeds", fmt.Sprint(s.Seeds), "firstStart", s.FirstStart)
-	d, err := newDaemon(o, s, l)
+	d, err := newDaemon(o, s, l, sig)
 	if err != nil {
 		return err
 	}
