--- a/cmd/eelplat/daemon_test.go
+++ b/cmd/eelplat/daemon_test.go
@@ -7,23 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/platform"
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 )
 
-const testSettings = `node_name=core-a-1
-ip=127.0.0.1
-zone=a-1
-region=a
-zones.a-1=a
-listen_addrs.control=127.0.0.1:8161
-internal_ports=7720
-seed_nodes=127.0.0.1:8161
-data_dir=/nowhere
-heartbeat=1s
-`
-
 // A process is told to reload and to stop while it starts. It starts, reloads and stops in order, in
 // place of ending by the signal.
 func TestSignalsDuringStart(t *testing.T) {
@@ -35,7 +24,11 @@
 		assert.Assert(t, time.Now().Before(end), "the signals did not arrive")
 	}
 	path := filepath.Join(t.TempDir(), "settings")
-	assert.NilError(t, os.WriteFile(path, []byte(testSettings), 0o600))
+	text := (&platform.Settings{
+		Name: "state1", IP: "127.0.0.1", Domain: "a-1", DomainRegions: map[model.FailureDomainID]model.RegionID{"a-1": "a"},
+		Internal: "127.0.0.1:7720", Seeds: []string{"127.0.0.1:7720"}, Control: "127.0.0.1:8161", DataDir: "/nowhere", Heartbeat: time.Second,
+	}).Format()
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := platform.Load(path)
 	assert.NilError(t, err)
 	d, err := newDaemon(options{Settings: path}, s, log.NewNopLogger(), sig)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 }{
 	{1, "never failed"},
 	{2, "never failed"},
+	{3416, "a replica that was told to stop 34 ms after its start ended by the signal"},
 }
 
 // TestSoak makes a short run with the real program for each seed.
