--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"time"
 )
 
 // requestBody is the body of a request in parts, so that a large one is neither copied while it is
@@ -77,3 +79,23 @@
 	_, err := all.WriteTo(c)
 	return err
 }
+
+// readBodyInTime reads the body until the deadline of the request at the latest, so that a caller who
+// stops sending does not keep the memory for a large one.
+func (q *request) readBodyInTime(limit int64) (requestBody, error) {
+	read := func() (requestBody, error) { return q.bodyReservation.readBody(q.r.Body, q.r.ContentLength, limit) }
+	if q.r.ContentLength >= 0 && q.r.ContentLength <= unreservedBytes {
+		return read()
+	}
+	c := http.NewResponseController(q.w)
+	if err := c.SetReadDeadline(time.Now().Add(q.deadline - q.start)); err != nil {
+		return read() // The writer has no deadlines.
+	}
+	b, err := read()
+	if err != nil {
+		// The server reads the rest of a body before it responds, which the deadline ends too.
+		return nil, err
+	}
+	// The server looks for the end of the connection while the request is served.
+	return b, c.SetReadDeadline(time.Time{})
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -196,26 +196,6 @@
 	return response{}, true
 }
 
-// readBodyInTime reads the body until the deadline of the request at the latest, so that a caller who
-// stops sending does not keep the memory for a large one.
-func (q *request) readBodyInTime(limit int64) (requestBody, error) {
-	read := func() (requestBody, error) { return q.bodyReservation.readBody(q.r.Body, q.r.ContentLength, limit) }
-	if q.r.ContentLength >= 0 && q.r.ContentLength <= unreservedBytes {
-		return read()
-	}
-	c := http.NewResponseController(q.w)
-	if err := c.SetReadDeadline(time.Now().Add(q.deadline - q.start)); err != nil {
-		return read() // The writer has no deadlines.
-	}
-	b, err := read()
-	if err != nil {
-		// The server reads the rest of a body before it responds, which the deadline ends too.
-		return nil, err
-	}
-	// The server looks for the end of the connection while the request is served.
-	return b, c.SetReadDeadline(time.Time{})
-}
-
 // hashFraction maps a name to a number from 0 to 1, always the same for the same name.
 func hashFraction(name string) float64 {
 	const mantissaSteps, unusedBits = 1 << 53, 11
