Ban requests that end the targets which run them, over all VMs

Cause: the bound on sends is one of an attempt on one VM; nothing remembers a request when its attempt ends. Class: a bound over all VMs that each VM keeps for one attempt.

Evidence: a trial that logged paths: all broken attempts have one path and body, no other path occurs twice.

Change: VMs report with their renewals which requests were in flight at a target that ended; the leader's ledger (internal/poison) suspects a request after two ends in a row without a whole response, and bans it after three. The decisions are catalogue objects, in force on all VMs and after restarts. An end needs a sign: the target refuses connections while another one accepts them, or is back as another incarnation. eelctl bans and eelctl lift; digest in the log lines; metrics.

Why it works: all attempts and VMs count into one ledger, whose decision reaches every VM within contact as any change of the catalogue does.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -59,6 +59,7 @@
 		return errors.Join(err, x.Close())
 	}
 	f := proxy.New(proxy.Options{
+		Key: d.key, Ends: x,
 		Gossip: proxy.GossipOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, Cluster: x, Headers: platform.Headers, Log: d.l, Dial: dialer(d.o, s, targetDialTimeout),
 		KeyLife: s.KeyLife, Allowances: x, AllowanceWindow: s.AllowanceWindow,
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -18,6 +18,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"fmt"
+	"hash"
 	"io"
 	"net/http"
 	"strconv"
@@ -142,6 +143,9 @@
 	return h.Sum(nil)[:macBytes]
 }
 
+// NewMAC returns an HMAC-SHA-256 with the key.
+func (k *Key) NewMAC() hash.Hash { return hmac.New(sha256.New, k.secret) }
+
 // Sign returns the message with a MAC prepended, which requires the key.
 func (k *Key) Sign(b []byte) []byte { return append(k.shortMAC(b), b...) }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,6 +135,7 @@
 	last             lastRenewal
 	meter            *quota.Meter
 	creditRequests   creditRequests
+	evidence         evidence
 }
 
 // New starts an entry.
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -45,6 +45,7 @@
 func (x *Entry) renewOnce(ctx context.Context, timeout time.Duration) (time.Duration, bool) {
 	x.checkLease()
 	q := x.newRenewRequest()
+	acknowledge := x.evidence.add(q, x.now())
 	sent := x.now()
 	t, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -53,6 +54,7 @@
 		x.handleRenewError(err)
 		return 0, false
 	}
+	acknowledge()
 	if r.WantTargets {
 		x.last.targets = 0
 		return 0, true
--- a/internal/opctl/opctl.go
+++ b/internal/opctl/opctl.go
@@ -113,6 +113,8 @@
 		{"undrain", "put it back into service", &undrainCmd{a: a}},
 		{"status", "show replicas, VMs, targets, links and leases", &statusCmd{a: a}},
 		{"held", "show the targets that leave or pause by their own word, as entries know them", &heldCmd{a: a}},
+		{"bans", "show the requests that ended targets and are suspected or banned", &bansCmd{a: a}},
+		{"lift", "lift the ban of a request", &liftCmd{a: a}},
 		{"why", "tell from log files what became of a request and what decided it", &whyCmd{a: a}},
 	}
 	if err := addCommands(p.Command, top); err != nil {
--- a/internal/opctl/why.go
+++ b/internal/opctl/why.go
@@ -28,7 +28,7 @@
 var stateEvents = []string{
 	"starting", "stopping", "drained", "listening", "lease changed", "leader changed", "catalogue in force", "settings reloaded",
 	"bad settings, the old ones stay in force", "routing submitted", "drain submitted", "target announced", "target withdrawn",
-	"target fell silent", "target leaves", "target pauses", "log lines dropped",
+	"target fell silent", "target leaves", "target pauses", "connections of a target broke", "target end reported", "request quarantine changed", "log lines dropped",
 }
 
 type whyCmd struct {
--- /dev/null
+++ b/internal/poison/ledger.go
@@ -0,0 +1,243 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+)
+
+const (
+	// suspectEnds and banEnds are the numbers of ends in a row after which a request is suspected
+	// and banned.
+	suspectEnds = 2
+	banEnds     = 3
+	// settleTime is how long after a request was suspected it can be banned at the earliest: by then
+	// the VMs have reported whole responses to it.
+	settleTime = 600 * time.Millisecond
+	// evidenceTTL is how long an end counts.
+	evidenceTTL = 10 * time.Minute
+	// maxSuspects bounds the requests with evidence. Those that are suspected or banned are kept.
+	maxSuspects = 4096
+	// maxQuarantined bounds the requests that are suspected or banned.
+	maxQuarantined = 1024
+	// maxEndsKept bounds the ends that are listed for a request.
+	maxEndsKept = 8
+	// reportSkew is an allowance for the delay of a report.
+	reportSkew = 100 * time.Millisecond
+)
+
+// Request is a request that was in flight at a target that ended.
+type Request struct {
+	Digest  model.RequestDigest
+	Route   model.RouteID
+	Service model.ServiceID
+}
+
+// End is one VM's report of the end of a target.
+type End struct {
+	VM          model.VMID
+	Target      model.TargetID
+	Incarnation uint64
+	At          time.Duration
+	// Requests are those of the VM that were in flight at the target.
+	Requests []Request
+}
+
+// Change is a decision that is to be committed.
+type Change struct {
+	Digest model.RequestDigest
+	// Quarantine is the new state; nil means that the request is neither suspected nor banned.
+	Quarantine *model.Quarantine
+}
+
+// end is the end of one incarnation of a target.
+type end struct {
+	target      model.TargetID
+	incarnation uint64
+	at          time.Duration
+	vms         []model.VMID
+}
+
+// suspect is the evidence against one request.
+type suspect struct {
+	request Request
+	// ends are those since the last whole response, oldest first.
+	ends []end
+	// wholeAt is when the last send started that got a whole response.
+	wholeAt time.Duration
+	// state is the committed state, since stateAt; it is empty if there is none.
+	state   model.QuarantineState
+	stateAt time.Duration
+	// changing means that a decision is being committed.
+	changing bool
+	lastAt   time.Duration
+}
+
+// Ledger holds the evidence against requests, at the leading replica. It is not safe for concurrent
+// use.
+type Ledger struct {
+	suspects map[model.RequestDigest]*suspect
+}
+
+// NewLedger returns a ledger that starts with the requests that are quarantined already. A request
+// that is only suspected keeps the number of its ends.
+func NewLedger(quarantined map[model.RequestDigest]model.Quarantine, now time.Duration) *Ledger {
+	l := &Ledger{suspects: map[model.RequestDigest]*suspect{}}
+	for d, q := range quarantined {
+		s := &suspect{request: Request{d, q.Route, q.Service}, state: q.State, stateAt: now, lastAt: now}
+		for _, e := range q.Ends {
+			s.ends = append(s.ends, end{target: e.Target, incarnation: e.Incarnation, at: now, vms: e.VMs})
+		}
+		l.suspects[d] = s
+	}
+	return l
+}
+
+// RecordEnd records a report. Reports of several VMs on the same end count once.
+func (l *Ledger) RecordEnd(x End) {
+	for _, r := range x.Requests {
+		s, ok := l.suspects[r.Digest]
+		if !ok {
+			l.makeRoom()
+			s = &suspect{request: r}
+			l.suspects[r.Digest] = s
+		}
+		s.add(x)
+	}
+}
+
+func (s *suspect) add(x End) {
+	s.lastAt = max(s.lastAt, x.At)
+	if s.state == model.QuarantineBanned || s.wholeAt > x.At {
+		return
+	}
+	i := slices.IndexFunc(s.ends, func(e end) bool { return e.target == x.Target && e.incarnation == x.Incarnation })
+	if i >= 0 {
+		if !slices.Contains(s.ends[i].vms, x.VM) {
+			s.ends[i].vms = append(s.ends[i].vms, x.VM)
+		}
+		return
+	}
+	if len(s.ends) < maxEndsKept {
+		s.ends = append(s.ends, end{target: x.Target, incarnation: x.Incarnation, at: x.At, vms: []model.VMID{x.VM}})
+	}
+}
+
+// makeRoom drops the older half of the requests that are neither suspected nor banned if there are
+// too many.
+func (l *Ledger) makeRoom() {
+	if len(l.suspects) < maxSuspects {
+		return
+	}
+	var list []*suspect
+	for _, s := range l.suspects {
+		if s.state == "" && !s.changing {
+			list = append(list, s)
+		}
+	}
+	slices.SortFunc(list, func(a, b *suspect) int { return cmp.Compare(a.lastAt, b.lastAt) })
+	for _, s := range list[:(len(list)+1)/2] {
+		delete(l.suspects, s.request.Digest)
+	}
+}
+
+// RecordWhole records that a send of a request, which started at a time, got a whole response. The
+// ends before it no longer count.
+func (l *Ledger) RecordWhole(d model.RequestDigest, startedAt time.Duration) {
+	s, ok := l.suspects[d]
+	if !ok || s.state == model.QuarantineBanned {
+		return
+	}
+	s.wholeAt = max(s.wholeAt, startedAt)
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.at < startedAt+reportSkew })
+}
+
+// Pending reports whether a request is suspected or about to be, so that Decide is to be called
+// again soon.
+func (l *Ledger) Pending() bool {
+	for _, s := range l.suspects {
+		if s.state == model.QuarantineSuspected && len(s.ends) >= banEnds || s.want(s.stateAt+settleTime) != s.state {
+			return true
+		}
+	}
+	return false
+}
+
+// want returns the state that follows from the evidence.
+func (s *suspect) want(now time.Duration) model.QuarantineState {
+	switch {
+	case s.state == model.QuarantineBanned:
+		return model.QuarantineBanned
+	case s.state == model.QuarantineSuspected && len(s.ends) >= banEnds && now >= s.stateAt+settleTime:
+		return model.QuarantineBanned
+	case len(s.ends) >= suspectEnds:
+		return model.QuarantineSuspected
+	}
+	return ""
+}
+
+// Decide returns the changes that follow from the evidence. Each is returned once, until Committed is
+// called for it. isKnown reports whether the catalogue holds a request; one that an operator has
+// taken out starts without evidence.
+func (l *Ledger) Decide(isKnown func(model.RequestDigest) bool, now time.Duration) []Change {
+	var out []Change
+	quarantined := 0
+	for d, s := range l.suspects {
+		s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return s.state != model.QuarantineBanned && now-e.at > evidenceTTL })
+		switch {
+		case s.changing:
+		case s.state != "" && !isKnown(d), s.state == "" && len(s.ends) == 0:
+			delete(l.suspects, d)
+			continue
+		}
+		if s.state != "" || s.changing {
+			quarantined++
+		}
+	}
+	for _, d := range slices.SortedFunc(maps.Keys(l.suspects), compareDigests) {
+		s := l.suspects[d]
+		want := s.want(now)
+		if s.changing || want == s.state || s.state == "" && quarantined >= maxQuarantined {
+			continue
+		}
+		if s.state == "" {
+			quarantined++
+		}
+		s.changing = true
+		c := Change{Digest: d}
+		if want != "" {
+			c.Quarantine = s.quarantine(want)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+func compareDigests(a, b model.RequestDigest) int { return cmp.Compare(a.String(), b.String()) }
+
+func (s *suspect) quarantine(state model.QuarantineState) *model.Quarantine {
+	q := &model.Quarantine{State: state, Route: s.request.Route, Service: s.request.Service}
+	for _, e := range s.ends {
+		q.Ends = append(q.Ends, model.TargetEnd{Target: e.target, Incarnation: e.incarnation, VMs: e.vms})
+	}
+	return q
+}
+
+// Committed records whether a change was committed.
+func (l *Ledger) Committed(c Change, ok bool, now time.Duration) {
+	s, found := l.suspects[c.Digest]
+	if !found {
+		return
+	}
+	s.changing = false
+	switch {
+	case !ok:
+	case c.Quarantine == nil:
+		s.state, s.stateAt = "", now
+	default:
+		s.state, s.stateAt = c.Quarantine.State, now
+	}
+}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -182,12 +183,12 @@
 
 func (x *conn) exchange(q call) (result, bool) {
 	if err := q.body.writeTo(x.Conn, q.encodeHead()); err != nil {
-		return result{outcome: unknown, reason: "request not sent whole: " + err.Error()}, false
+		return result{outcome: unknown, reason: "request not sent whole: " + err.Error(), broke: isBroken(err)}, false
 	}
 	for i := range maxStrayResponses {
 		r, id, more, err := x.read(q, i == 0 && !x.used)
 		if err != nil {
-			return result{outcome: unknown, reason: "answer not whole: " + err.Error()}, false
+			return result{outcome: unknown, reason: "answer not whole: " + err.Error(), broke: isBroken(err)}, false
 		}
 		if id == q.id {
 			return q.classify(r), more && x.r.Buffered() == 0
@@ -200,6 +201,11 @@
 	return result{outcome: unknown, reason: "the connection carries answers to other requests"}, false
 }
 
+// isBroken reports whether an error means that the peer or the network ended the connection.
+func isBroken(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // encodeHead returns the head of the request in wire format.
 func (q call) encodeHead() []byte {
 	var b bytes.Buffer
--- a/internal/proxy/deadly_test.go
+++ b/internal/proxy/deadly_test.go
@@ -113,7 +113,7 @@
 	})
 	assert.NilError(d.t, err)
 	p := New(Options{
-		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: dial,
+		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: dial, Key: d.key, Ends: x,
 		Budget: BudgetOptions{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
 	})
 	d.entries, d.proxies = append(d.entries, x), append(d.proxies, p)
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -66,6 +66,8 @@
 	took time.Duration
 	// retryAfter is how long a refused request would have waited.
 	retryAfter time.Duration
+	// broke means that the connection broke before the response was complete.
+	broke bool
 	// reused means that the connection had carried other requests before.
 	reused bool
 }
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -235,6 +235,9 @@
 	if j.access.authenticated && !p.areKeysValid() {
 		return reasonKeysStale
 	}
+	if p.quarantineState(j.request) == model.QuarantineBanned {
+		return reasonBanned
+	}
 	return ""
 }
 
@@ -281,6 +284,7 @@
 	if r.succeeded() && j.hasAffinity {
 		t.warm.Add(j.key)
 	}
+	p.observe(j.request, t, r)
 	p.reportSend(j, t, r, wasWarm)
 	if what := t.sendEnded(r, p.now()); what != "" {
 		p.logTargetEvent(j, t, r, what)
--- a/internal/proxy/job.go
+++ b/internal/proxy/job.go
@@ -10,6 +10,8 @@
 
 // job is one send of a request to one target.
 type job struct {
+	request *request
+
 	method, uri, host string
 	id                string
 	header            http.Header
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -104,6 +104,8 @@
 	CatalogueFresh bool                          `json:"catalogueFresh"`
 	// Held lists the targets that accept no requests, or only some, from this VM, the first maxHeld by name.
 	Held []HeldTarget `json:"held"`
+	// Quarantine counts what was done about requests that end targets.
+	Quarantine QuarantineCounts `json:"quarantine"`
 	// Gossip counts the datagrams between the VMs of the failure domain.
 	Gossip gossip.Counts `json:"sights"`
 }
@@ -173,6 +175,7 @@
 		Routes: map[model.RouteID]Latency{}, TargetLatency: latencyOf(m.targetLatency),
 		ServiceTimes: p.estimators.snapshot(), Targets: known, UsableTargets: usable, CatalogueFresh: p.o.Cluster.Fresh(), Held: held,
 	}
+	p.quarantine.count(func(n *QuarantineCounts) { out.Quarantine = *n })
 	if p.gossiper != nil {
 		out.Gossip = p.gossiper.Counts()
 	}
@@ -202,11 +205,19 @@
 		"pauseMillis", r.pause.Milliseconds(), "limitPerSecond", r.limit)
 }
 
+// loggedDigest returns the digest of a request if it was computed.
+func (q *request) loggedDigest() string {
+	if !q.hasDigest {
+		return ""
+	}
+	return q.digest.String()
+}
+
 // logResponse logs the outcome of a request and what decided it.
 func (p *Proxy) logResponse(q *request, a response, took time.Duration) {
 	fresh := p.o.Cluster.Fresh()
 	level.Info(p.o.Log).Log("msg", "answered", "request", q.id, "route", q.route.Name, "service", q.service,
-		"workspace", q.access.workspace.Name, "object", q.object, "target", q.target,
+		"workspace", q.access.workspace.Name, "object", q.object, "digest", q.loggedDigest(), "target", q.target,
 		"status", a.status, "own", a.isLocal, "outcome", q.outcome, "reason", q.reason,
 		"sent", q.state.sent, "tries", q.state.tries, "tookMillis", took.Milliseconds(), "waitedMillis", q.queueTime.Milliseconds(),
 		"allowedMillis", max(0, q.deadline-q.start).Milliseconds(), "version", uint64(q.version), "fresh", fresh)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,6 +116,10 @@
 	// MaxBufferedBytes limits the memory for large responses that are buffered at the same time,
 	// over all requests; 0 means DefaultMaxBufferedBytes.
 	MaxBufferedBytes int64
+	// Key is the key of the deployment, for the digests of requests, and Ends reports which requests
+	// were in flight when targets ended. Without them no request is suspected or banned.
+	Key  *auth.Key
+	Ends EndReporter
 	// MaxBodyBytes limits the memory for large request bodies in the same way; 0 means
 	// DefaultMaxBodyBytes.
 	MaxBodyBytes int64
@@ -159,6 +163,7 @@
 	bodyMemory     *semaphore.Weighted
 	gossiper       *gossip.Agent
 	reporters      reporters
+	quarantine     *quarantine
 	g              *group.Group
 	draining       atomic.Bool
 	refusing       atomic.Bool
@@ -180,7 +185,7 @@
 		o.MaxBodyBytes = DefaultMaxBodyBytes
 	}
 	p := &Proxy{
-		o: o, now: clock.Stopwatch(), metrics: newMetrics(), responseMemory: semaphore.NewWeighted(o.MaxBufferedBytes),
+		o: o, now: clock.Stopwatch(), metrics: newMetrics(), quarantine: newQuarantine(), responseMemory: semaphore.NewWeighted(o.MaxBufferedBytes),
 		bodyMemory: semaphore.NewWeighted(o.MaxBodyBytes),
 		g:          group.New(context.Background()), dispatchStopped: make(chan struct{}),
 	}
--- /dev/null
+++ b/internal/proxy/quarantine.go
@@ -0,0 +1,384 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/poison"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/go-kit/log/level"
+)
+
+// EndReporter takes the evidence on which requests end the targets that run them to the leading
+// replica.
+type EndReporter interface {
+	// ReportEnd reports that a target ended some time ago with requests of this VM in flight.
+	ReportEnd(t model.TargetID, incarnation uint64, ago time.Duration, requests []poison.Request)
+	// ReportWhole reports that a suspected request got a whole response to a send that started some
+	// time ago.
+	ReportWhole(d model.RequestDigest, ago time.Duration)
+}
+
+const (
+	// reasonBanned is the reason for refusing a request that ended targets.
+	reasonBanned = "requests like this one have ended the targets that ran them"
+	// bannedRetryDelay is the Retry-After of a banned request: an operator lifts the ban.
+	bannedRetryDelay = time.Minute
+	// reasonSuspected is the reason for refusing a request that waited for the decision in vain.
+	reasonSuspected = "targets have ended while they ran requests like this one, and the decision on it is open"
+	// suspectedRetryDelay is the Retry-After of such a request.
+	suspectedRetryDelay = time.Second
+	// suspectHoldTime is how long a suspected request waits for the decision before this VM sends one,
+	// and the time between two that it sends.
+	suspectHoldTime = time.Second
+	// suspectPollInterval is the interval at which a waiting request looks for the decision.
+	suspectPollInterval = 20 * time.Millisecond
+	// maxRecentRequests is the number of requests with whole responses that are remembered.
+	maxRecentRequests = 2048
+	// maxRememberedBody is the size of the largest request body that is hashed although nothing is
+	// known against the request.
+	maxRememberedBody = 64 << 10
+	// maxBrokenSends bounds the requests that are reported for one end.
+	maxBrokenSends = 64
+	// brokenSendsDelay is how long to wait for further sends that break with the same target.
+	brokenSendsDelay = 20 * time.Millisecond
+	// endConfirmInterval and endConfirmTimeout are for the search for a sign that a target has ended:
+	// it is down, or back with a new incarnation.
+	endConfirmInterval = 250 * time.Millisecond
+	endConfirmTimeout  = 4 * time.Second
+	// maxWitnesses is the number of other targets that are dialled to find out whether this VM itself
+	// is cut off.
+	maxWitnesses = 3
+)
+
+// quarantine observes which requests end targets, and keeps suspected ones apart.
+type quarantine struct {
+	recent *poison.Recent
+
+	mu     sync.Mutex
+	broken map[*target]*brokenSends
+	trials map[model.RequestDigest]*trial
+	// reviewed is the version of the catalogue whose suspected requests were compared with recent.
+	reviewed model.Version
+	counts   QuarantineCounts
+}
+
+// brokenSends are the requests whose connections to a target broke at about the same time.
+type brokenSends struct {
+	at       time.Duration
+	requests []poison.Request
+}
+
+// trial is the state of a suspected request at this VM, which sends one at a time.
+type trial struct {
+	running bool
+	nextAt  time.Duration
+}
+
+// QuarantineCounts counts what a VM did about requests that end targets.
+type QuarantineCounts struct {
+	// Ends is the number of ends of targets that were reported, Unconfirmed that of broken
+	// connections without a sign that the target had ended.
+	Ends        int64 `json:"ends"`
+	Unconfirmed int64 `json:"unconfirmed"`
+	// Banned and Suspected are the numbers of refused requests, Trials that of suspected requests
+	// that were sent.
+	Banned    int64 `json:"bannedRefused"`
+	Suspected int64 `json:"suspectedRefused"`
+	Trials    int64 `json:"suspectedSent"`
+}
+
+func newQuarantine() *quarantine {
+	return &quarantine{recent: poison.NewRecent(maxRecentRequests), broken: map[*target]*brokenSends{}, trials: map[model.RequestDigest]*trial{}}
+}
+
+func (k *quarantine) count(f func(*QuarantineCounts)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f(&k.counts)
+}
+
+// digestOf returns the digest of a request, which is computed once.
+func (p *Proxy) digestOf(q *request) model.RequestDigest {
+	if !q.hasDigest {
+		x := poison.Identity{Method: q.r.Method, Host: q.r.Host, URI: q.r.RequestURI, Caller: string(q.access.workspace.Name), Body: q.body}
+		if !q.access.keyRequired {
+			x.Caller = q.r.Header.Get(p.o.Headers.Authorization)
+		}
+		q.digest, q.hasDigest = poison.Identify(p.o.Key, x), true
+	}
+	return q.digest
+}
+
+// quarantineState returns how a request is treated now; it is empty if nothing is known against it.
+func (p *Proxy) quarantineState(q *request) model.QuarantineState {
+	c := p.o.Cluster.Catalogue()
+	if p.o.Key == nil || c == nil || len(c.Quarantine) == 0 {
+		return ""
+	}
+	return c.Quarantine[p.digestOf(q)].State
+}
+
+// review reports the suspected requests that recently got whole responses from this VM.
+func (p *Proxy) review() {
+	c := p.o.Cluster.Catalogue()
+	if c == nil || len(c.Quarantine) == 0 || p.o.Ends == nil {
+		return
+	}
+	k := p.quarantine
+	k.mu.Lock()
+	known := k.reviewed == c.Version
+	k.reviewed = c.Version
+	for d := range k.trials {
+		if c.Quarantine[d].State != model.QuarantineSuspected {
+			delete(k.trials, d)
+		}
+	}
+	k.mu.Unlock()
+	if known {
+		return
+	}
+	for d, x := range c.Quarantine {
+		if at, ok := k.recent.StartedAt(d); ok && x.State == model.QuarantineSuspected {
+			p.o.Ends.ReportWhole(d, p.now()-at)
+		}
+	}
+}
+
+// admitQuarantined refuses a banned request, and lets a suspected one wait for the decision. The
+// function that it returns is called when the request has ended.
+func (p *Proxy) admitQuarantined(q *request) (done func(), a response, ok bool) {
+	done = func() {}
+	p.review()
+	switch p.quarantineState(q) {
+	case model.QuarantineBanned:
+		return done, p.bannedResponse(q), false
+	case model.QuarantineSuspected:
+		return p.awaitDecision(q)
+	}
+	return done, response{}, true
+}
+
+// bannedResponse refuses a request that ended targets; if it may have run in this attempt, the
+// response says so.
+func (p *Proxy) bannedResponse(q *request) response {
+	p.quarantine.count(func(n *QuarantineCounts) { n.Banned++ })
+	if q.state.possiblyRun {
+		return q.unknownOutcome(reasonBanned)
+	}
+	return q.refusal(reasonBanned, bannedRetryDelay)
+}
+
+// awaitDecision waits until a suspected request is cleared or banned. If the decision takes long,
+// this VM sends one such request at a time, once: its outcome helps to decide.
+func (p *Proxy) awaitDecision(q *request) (done func(), a response, ok bool) {
+	done = func() {}
+	d := p.digestOf(q)
+	until := q.start + (q.deadline-q.start)/2
+	t := time.NewTicker(suspectPollInterval)
+	defer t.Stop()
+	for {
+		switch p.quarantineState(q) {
+		case "":
+			return done, response{}, true
+		case model.QuarantineBanned:
+			return done, p.bannedResponse(q), false
+		}
+		now := p.now()
+		if p.quarantine.startTrial(d, now) {
+			q.state.maxSends = 1
+			return func() { p.quarantine.endTrial(d, p.now()) }, response{}, true
+		}
+		if now >= until {
+			p.quarantine.count(func(n *QuarantineCounts) { n.Suspected++ })
+			return done, q.refusal(reasonSuspected, suspectedRetryDelay), false
+		}
+		select {
+		case <-q.r.Context().Done():
+			q.outcome, q.reason = callerLeft, "the caller has gone"
+			return done, response{noReply: true}, false
+		case <-t.C:
+		}
+	}
+}
+
+// startTrial reports whether a suspected request is sent now.
+func (k *quarantine) startTrial(d model.RequestDigest, now time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x, ok := k.trials[d]
+	if !ok {
+		x = &trial{nextAt: now + suspectHoldTime}
+		k.trials[d] = x
+	}
+	if x.running || now < x.nextAt {
+		return false
+	}
+	x.running = true
+	k.counts.Trials++
+	return true
+}
+
+func (k *quarantine) endTrial(d model.RequestDigest, now time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if x, ok := k.trials[d]; ok {
+		x.running, x.nextAt = false, now+suspectHoldTime
+	}
+}
+
+// observe records what the result of a send says about its request.
+func (p *Proxy) observe(q *request, t *target, r result) {
+	if p.o.Ends == nil || p.o.Key == nil {
+		return
+	}
+	switch {
+	case r.outcome == responded && (q.body.len() <= maxRememberedBody || q.hasDigest):
+		p.quarantine.recent.Add(p.digestOf(q), r.startedAt)
+		if p.quarantineState(q) == model.QuarantineSuspected {
+			p.o.Ends.ReportWhole(p.digestOf(q), p.now()-r.startedAt)
+		}
+	case r.broke && !r.aborted && !t.isLeaving():
+		p.recordBroken(t, poison.Request{Digest: p.digestOf(q), Route: q.route.Name, Service: q.service})
+	}
+}
+
+// isLeaving reports whether the target is about to end as planned.
+func (t *target) isLeaving() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leavingAt != 0 || t.outOfService || t.record.State != model.TargetReady
+}
+
+// recordBroken records a request whose connection broke, and starts to find out whether the target
+// has ended.
+func (p *Proxy) recordBroken(t *target, r poison.Request) {
+	k := p.quarantine
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	b, ok := k.broken[t]
+	if !ok {
+		b = &brokenSends{at: p.now()}
+		k.broken[t] = b
+		p.g.Go(func(ctx context.Context) error {
+			p.confirmEnd(ctx, t)
+			return nil
+		})
+	}
+	if len(b.requests) < maxBrokenSends {
+		b.requests = append(b.requests, r)
+	}
+}
+
+// confirmEnd finds out whether a target has ended after connections to it broke, and reports that. A
+// broken connection alone may be a fault of the network, and of this VM's own links: the target must
+// refuse connections while another one accepts them, or be back as another incarnation.
+func (p *Proxy) confirmEnd(ctx context.Context, t *target) {
+	ended := false
+	start := p.now()
+	sleepFor(ctx, brokenSendsDelay)
+	for dial := true; !ended && ctx.Err() == nil && p.now() < start+endConfirmTimeout; {
+		if ended = p.registry.isReplaced(t); ended {
+			break
+		}
+		if dial {
+			var accepted bool
+			ended, accepted = p.refusesConnections(ctx, t)
+			// A target that accepts connections has not ended, or is back already.
+			dial = !accepted
+		}
+		if !ended {
+			sleepFor(ctx, endConfirmInterval)
+		}
+	}
+	k := p.quarantine
+	k.mu.Lock()
+	b := k.broken[t]
+	delete(k.broken, t)
+	if ended {
+		k.counts.Ends++
+	} else {
+		k.counts.Unconfirmed++
+	}
+	k.mu.Unlock()
+	level.Info(p.o.Log).Log("msg", "connections of a target broke", "target", t.id, "requests", len(b.requests), "ended", ended,
+		"tookMillis", (p.now() - start).Milliseconds())
+	if ended {
+		p.o.Ends.ReportEnd(t.id, t.incarnation(), p.now()-b.at, b.requests)
+	}
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// refusesConnections reports whether a target refuses connections, although another target accepts
+// them, and whether it accepts them. Where the others refuse them too, this VM may be cut off.
+func (p *Proxy) refusesConnections(ctx context.Context, t *target) (refuses, accepts bool) {
+	hasLinks := false
+	for _, x := range p.registry.sample(maxWitnesses, t) {
+		if hasLinks = x.conns.probe(ctx) == nil; hasLinks {
+			break
+		}
+	}
+	err := t.conns.probe(ctx)
+	return hasLinks && errors.Is(err, syscall.ECONNREFUSED), err == nil
+}
+
+// probe establishes a connection and closes it.
+func (c *conns) probe(ctx context.Context) error {
+	x, err := c.dial(ctx, "tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	return x.Close()
+}
+
+// incarnation returns the incarnation of the target.
+func (t *target) incarnation() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.Incarnation
+}
+
+// isReplaced reports whether the catalogue lists another incarnation of a target, or another target at
+// its address.
+func (r *registry) isReplaced(t *target) bool {
+	if c := r.o.Cluster.Catalogue(); c != nil {
+		r.update(c)
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for id, x := range r.byID {
+		if x != t && (id == t.id || x.conns.addr == t.conns.addr) {
+			return true
+		}
+	}
+	return false
+}
+
+// sample returns up to n random targets that are in service, without one.
+func (r *registry) sample(n int, without *target) []*target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	now := r.now()
+	var out []*target
+	// The order of a map is random.
+	for _, x := range r.byID {
+		if len(out) == n {
+			break
+		}
+		if x != without && x.isAccepting(now) && !x.isEjected(now) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -73,6 +73,9 @@
 	target    model.TargetID
 	outcome   outcome
 	reason    string
+	// digest identifies the request when it comes again, if hasDigest.
+	digest    model.RequestDigest
+	hasDigest bool
 }
 
 // response is the result that the caller gets.
@@ -145,6 +148,11 @@
 	if a, ok := q.readBody(c.Routing.Limits); !ok {
 		return a
 	}
+	done, a, ok := p.admitQuarantined(q)
+	if !ok {
+		return a
+	}
+	defer done()
 	q.service = pickService(q.route.Split, q.id)
 	q.serviceTime = p.estimators.get(q.route.Name, q.route.ObjectiveMillis.Duration())
 	q.key = place.HashObject(q.id)
@@ -223,6 +231,12 @@
 func (p *Proxy) send(q *request, c *model.Catalogue) response {
 	tried := map[model.TargetID]bool{}
 	for {
+		switch state := p.quarantineState(q); {
+		case state == model.QuarantineBanned:
+			return p.bannedResponse(q)
+		case state == model.QuarantineSuspected && q.state.possiblyRun:
+			return q.unknownOutcome(reasonSuspected)
+		}
 		t, spillover, ok := p.choose(q, c, tried)
 		if !ok {
 			return p.noTargetResponse(q, c)
@@ -305,7 +319,8 @@
 		return result{outcome: callerLeft, reason: "the caller has gone"}
 	}
 	r := p.dispatch(q.r.Context(), c, &job{
-		method: q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.id, header: q.r.Header, body: q.body,
+		request: q,
+		method:  q.r.Method, uri: q.r.RequestURI, host: q.r.Host, id: q.id, header: q.r.Header, body: q.body,
 		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.priority(), access: q.access,
 		objective: q.route.ObjectiveMillis.Duration(), start: q.start, deadline: q.deadline, overrun: q.overrun, key: q.key, hasAffinity: q.hasAffinity(), reservation: &q.reservation, spillover: spillover,
 	}, t)
--- /dev/null
+++ b/internal/server/quarantine_test.go
@@ -0,0 +1,77 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"gotest.tools/v3/assert"
+)
+
+// renewEnd renews the lease of an entry that reports the end of a target under a request.
+func renewEnd(t *testing.T, s *Server, sequence uint64, target string, d model.RequestDigest) {
+	t.Helper()
+	q := &eelpb.RenewRequest{Vm: "v", Incarnation: 1, Addr: "127.0.0.1:1", FailureDomain: "a-1", Sequence: sequence, Sole: true}
+	if target != "" {
+		q.Ends = []*eelpb.TargetEnd{{Target: target, Incarnation: 1, Requests: []*eelpb.RequestInFlight{{Digest: d[:], Route: "r"}}}}
+	}
+	for try := 0; ; try++ {
+		// The failure domain is added shortly after the start.
+		_, err := stateService{s}.Renew(context.Background(), q)
+		if err == nil {
+			return
+		}
+		assert.Assert(t, try < 100, "%v", err)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func awaitState(t *testing.T, s *Server, d model.RequestDigest, want model.QuarantineState) {
+	t.Helper()
+	for range 500 {
+		s.mu.Lock()
+		s.refresh()
+		got := s.catalogue.Quarantine[d].State
+		s.mu.Unlock()
+		if got == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("the request is not %q", want)
+}
+
+// What entries report leads to a ban that is committed: it is still in force after all replicas have
+// restarted, and until an operator lifts it.
+func TestBanSurvivesRestart(t *testing.T) {
+	dir := t.TempDir()
+	s, closeServer := startServer(t, dir)
+	banned, suspected := model.RequestDigest{1}, model.RequestDigest{2}
+	for i := range 3 {
+		renewEnd(t, s, uint64(i+1), fmt.Sprint("t", i), banned)
+	}
+	awaitState(t, s, banned, model.QuarantineBanned)
+	renewEnd(t, s, 4, "t1", suspected)
+	renewEnd(t, s, 5, "t2", suspected)
+	awaitState(t, s, suspected, model.QuarantineSuspected)
+	closeServer()
+
+	s, closeServer = startServer(t, dir)
+	defer closeServer()
+	awaitState(t, s, banned, model.QuarantineBanned)
+	awaitState(t, s, suspected, model.QuarantineSuspected)
+	renewEnd(t, s, 6, "t3", suspected)
+	awaitState(t, s, suspected, model.QuarantineBanned)
+
+	_, err := s.submit(context.Background(), &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{
+		{Kind: string(model.ObjectQuarantine), Name: banned.String(), Removed: true},
+	}})
+	assert.NilError(t, err)
+	awaitState(t, s, banned, "")
+	time.Sleep(2 * idleDecideInterval)
+	awaitState(t, s, banned, "")
+	awaitState(t, s, suspected, model.QuarantineBanned)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -31,6 +31,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/gzhttp"
 	"github.com/eelgrassroad/eelgrassroad/internal/lease"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/internal/poison"
 	"github.com/eelgrassroad/eelgrassroad/internal/quota"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
@@ -101,17 +102,22 @@
 	ledger    *quota.Ledger
 	catalogue *model.Catalogue
 	registry  registry
-	batches   batcher
-	g         *group.Group
+	// suspects is the evidence on which requests end targets, at the leader.
+	suspects *poison.Ledger
+	// newEvidence receives a value when there is new evidence.
+	newEvidence chan struct{}
+	batches     batcher
+	g           *group.Group
 }
 
 // New returns a server for a replica.
 func New(o Options) (*Server, error) {
-	s := &Server{o: o, e: echo.New(), batches: batcher{pending: make(chan struct{}, 1)}}
+	s := &Server{o: o, e: echo.New(), newEvidence: make(chan struct{}, 1), batches: batcher{pending: make(chan struct{}, 1)}}
 	s.refresh()
 	s.routes()
 	s.g = group.New(context.Background())
 	s.g.Go(s.commitBatches)
+	s.g.Go(s.decideLoop)
 	if o.DomainRegions != nil {
 		s.g.Every(ensureDomainsInterval, s.ensureDomains)
 	}
@@ -179,6 +185,7 @@
 		s.term = t
 		s.grantor = lease.New(lease.Options{Duration: s.o.LeaseDuration}, won, uint64(t))
 		s.ledger = quota.NewLedger(quota.LedgerOptions{Bounds: s.o.Allowances, FallbackTimeout: s.o.FallbackTimeout, StartedAt: s.o.Node.Now()})
+		s.suspects = poison.NewLedger(s.catalogue.Quarantine, s.o.Node.Now())
 	}
 	return s.grantor, s.catalogue, true
 }
@@ -223,6 +230,7 @@
 		return nil, twirp.NewError(twirp.AlreadyExists, err.Error())
 	}
 	s.addCredits(q, a, c)
+	s.recordEvidence(q)
 	// A process that was suspended meanwhile must not grant a lease for a past term.
 	if _, _, ok := s.o.Node.Leadership(); !ok {
 		return nil, s.notLeader()
--- a/pkg/model/build.go
+++ b/pkg/model/build.go
@@ -54,12 +54,15 @@
 	Routing    *Routing
 	Workspaces Workspaces
 	Targets    Targets
+	// Quarantine holds the requests that ended targets.
+	Quarantine map[RequestDigest]Quarantine
 
 	// Invalid lists the stored objects that are not valid. They are left out of the other
 	// fields; all other objects are in force.
 	Invalid []InvalidObject
 
-	// configs holds the objects other than targets, workspaces and documents, by key.
+	// configs holds the objects other than targets, workspaces, documents and quarantined requests,
+	// by key.
 	configs map[string]Object
 	routes  routeIndex
 	deltas  []delta
--- a/pkg/model/delta.go
+++ b/pkg/model/delta.go
@@ -71,6 +71,7 @@
 	}
 	targets := n.applyTargets(valid, removed)
 	n.applyWorkspaces(valid, removed)
+	n.applyQuarantine(valid, removed)
 	d := delta{from: c.Version, targets: targets, incomplete: n.applyConfigs(c, valid, removed)}
 	n.deltas = n.appendDelta(d)
 	return &n
@@ -153,7 +154,7 @@
 	}
 	for _, o := range put {
 		switch o.Kind {
-		case ObjectDocument, ObjectTarget, ObjectWorkspace:
+		case ObjectDocument, ObjectTarget, ObjectWorkspace, ObjectQuarantine:
 		default:
 			change()
 			configs[o.Key()] = o
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -94,6 +94,8 @@
 	ObjectTarget   ObjectKind = "target"
 	// ObjectWorkspace is a Workspace of the routing.
 	ObjectWorkspace ObjectKind = "workspace"
+	// ObjectQuarantine is the Quarantine of a request that ended targets.
+	ObjectQuarantine ObjectKind = "quarantine"
 )
 
 // RoutingName names the routing and its document.
