--- a/internal/proxy/deadly_test.go
+++ b/internal/proxy/deadly_test.go
@@ -34,6 +34,7 @@
 	entries []*entry.Entry
 	proxies []*Proxy
 	targets []*mortalTarget
+	dialers []*switchedDialer
 }
 
 const (
@@ -105,19 +106,23 @@
 
 func (d *deployment) startVM(i int) {
 	domain := model.FailureDomainID([]string{"a-1", "b-1"}[i%2])
-	dial := (&net.Dialer{Timeout: 250 * time.Millisecond}).DialContext
+	srv := httptest.NewUnstartedServer(nil)
+	links := newSwitchedDialer()
 	x, err := entry.New(entry.Options{
-		ID: model.VMID(fmt.Sprintf("v%d", i)), Addr: fmt.Sprintf("127.0.0.1:%d", i+1), Domain: domain, Replicas: []string{d.addr}, Key: d.key,
+		ID: model.VMID(fmt.Sprintf("v%d", i)), Addr: srv.Listener.Addr().String(), Domain: domain, Replicas: []string{d.addr}, Key: d.key,
 		Sole: true, RenewInterval: 800 * time.Millisecond, MinPullInterval: 200 * time.Millisecond, LongPollTimeout: time.Second,
-		Dial: dial, Log: log.NewNopLogger(),
+		Dial: (&net.Dialer{Timeout: 250 * time.Millisecond}).DialContext, Log: log.NewNopLogger(),
 	})
 	assert.NilError(d.t, err)
 	p := New(Options{
-		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: dial, Key: d.key, Ends: x,
+		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: links.dial, Key: d.key, Ends: x,
 		Budget: BudgetOptions{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
 	})
-	d.entries, d.proxies = append(d.entries, x), append(d.proxies, p)
+	srv.Config.Handler = x.Handler()
+	srv.Start()
+	d.entries, d.proxies, d.dialers = append(d.entries, x), append(d.proxies, p), append(d.dialers, links)
 	d.t.Cleanup(func() {
+		srv.Close()
 		assert.Check(d.t, p.Close() == nil)
 		assert.Check(d.t, x.Close() == nil)
 	})
