Relay through another VM while a VM has lost its links to all targets

Cause: a VM takes each target for down when its own links have failed, and has no other way to them. Class: a fault of the observer taken for one of what it observes.

Admitted once; the other entry counts limits, slots and retries; not run is said only if it is certain. Idempotent requests in flight are sent again this way.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
@@ -59,7 +60,7 @@
 		return errors.Join(err, x.Close())
 	}
 	f := proxy.New(proxy.Options{
-		Key: d.key, Ends: x,
+		Key: d.key, Ends: x, Hop: proxy.HopOptions{Dial: d.dial, Self: model.VMID(s.Name)},
 		Gossip: proxy.GossipOptions{Conn: c, Key: d.key, Self: model.VMID(s.Name)},
 		Domain: s.Domain, Cluster: x, Headers: platform.Headers, Log: d.l, Dial: dialer(d.o, s, targetDialTimeout),
 		KeyLife: s.KeyLife, Allowances: x, AllowanceWindow: s.AllowanceWindow,
@@ -67,7 +68,15 @@
 		Budget: proxy.BudgetOptions{Ratio: s.RetryRatio * retryRatioFraction, Burst: s.RetryBurst, Window: s.RetryWindow},
 	})
 	d.serveMetrics(func() any { return entryMetrics{x.Metrics(), f.Metrics()} })
-	if err := d.serve("entries", s.Internal, x.Handler()); err != nil {
+	hop := f.HopHandler()
+	internal := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if proxy.IsHopPath(r.URL.Path) {
+			hop.ServeHTTP(w, r)
+			return
+		}
+		x.Handler().ServeHTTP(w, r)
+	})
+	if err := d.serve("entries", s.Internal, internal); err != nil {
 		return err
 	}
 	if err := d.serve("readiness", s.Ready, platform.Ready(f.Ready)); err != nil {
--- /dev/null
+++ b/internal/links/links.go
@@ -0,0 +1,156 @@
+// Package links finds out whether a VM has lost its own links to all targets, so that a VM does not
+// take one target after the other for down when the fault is its own.
+//
+// A failed send, or silence of several targets at once, is a reason to probe: the VM dials some
+// targets of any service at once. If none accepts, the VM is cut off, and it probes on until its
+// links are back. Connections that were open before the cut tell little: they may live on while new
+// ones are refused.
+//
+// # Usage
+//
+//	d := links.New()
+//	if d.Failed(now) {
+//		d.Probed(dialled, accepted, now)
+//	}
+//	if d.CutOff() { ... }
+//
+// The package needs no network and has no timers.
+package links
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// silenceTime is how long no target may respond before requests in flight at several targets are a
+	// reason to probe.
+	silenceTime = 250 * time.Millisecond
+	// minSilent is the number of targets that must be silent.
+	minSilent = 2
+	// probePause is the minimum time between two probes while the links are up.
+	probePause = 250 * time.Millisecond
+	// connectedTTL is how long an established connection proves that the links are up.
+	connectedTTL = 100 * time.Millisecond
+	// minDialled is the number of targets that must have been dialled to conclude anything: if there
+	// is only one, its fault cannot be told from one of the links.
+	minDialled = 2
+	// minRecoveries is the number of successful probes in a row after which the links are back.
+	minRecoveries = 2
+	// maxWaiting bounds the targets that are remembered as silent.
+	maxWaiting = 16
+)
+
+// State is the state of a VM's links to the targets.
+type State struct {
+	CutOff bool
+	// Since is when the state began.
+	Since time.Duration
+	// Cuts is the number of times that the VM was cut off.
+	Cuts int
+}
+
+// Detector decides whether a VM is cut off. It is safe for concurrent use.
+type Detector struct {
+	mu    sync.Mutex
+	state State
+	// heardAt and connectedAt are when a target last responded and when a connection was last
+	// established.
+	heardAt, connectedAt time.Duration
+	// waiting holds targets that got a request since heardAt.
+	waiting    map[string]bool
+	probing    bool
+	probedAt   time.Duration
+	recoveries int
+}
+
+// New returns a detector for links that are up.
+func New() *Detector {
+	return &Detector{waiting: map[string]bool{}}
+}
+
+// State returns the current state.
+func (d *Detector) State() State {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state
+}
+
+// CutOff reports whether the VM is cut off from all targets.
+func (d *Detector) CutOff() bool { return d.State().CutOff }
+
+// Sent records that a request is sent to a target, and reports whether the caller is to probe.
+func (d *Detector) Sent(target string, now time.Duration) (probe bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.waiting) == 0 {
+		// Silence begins with the first request that waits.
+		d.heardAt = now
+	}
+	if len(d.waiting) < maxWaiting {
+		d.waiting[target] = true
+	}
+	return len(d.waiting) >= minSilent && now-d.heardAt > silenceTime && d.startProbe(now)
+}
+
+// Heard records that a target responded.
+func (d *Detector) Heard(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.heardAt = now
+	clear(d.waiting)
+}
+
+// Connected records that a connection to a target was established.
+func (d *Detector) Connected(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.connectedAt = now
+}
+
+// Failed records that a target could not be reached or that a connection broke, and reports whether
+// the caller is to probe.
+func (d *Detector) Failed(now time.Duration) (probe bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.connectedAt > 0 && now-d.connectedAt < connectedTTL {
+		return false
+	}
+	return d.startProbe(now)
+}
+
+// startProbe starts a probe unless there was one just now; the caller holds the lock.
+func (d *Detector) startProbe(now time.Duration) bool {
+	if d.state.CutOff || d.probing || d.probedAt > 0 && now-d.probedAt < probePause {
+		return false
+	}
+	d.probing = true
+	return true
+}
+
+// Probed records the result of a probe: how many targets were dialled, and how many of them accepted.
+// It reports whether the state changed.
+func (d *Detector) Probed(dialled, accepted int, now time.Duration) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.probing, d.probedAt = false, now
+	switch {
+	case accepted == 0:
+		d.recoveries = 0
+		if d.state.CutOff || dialled < minDialled {
+			return false
+		}
+		d.state = State{CutOff: true, Since: now, Cuts: d.state.Cuts + 1}
+		return true
+	case !d.state.CutOff:
+		d.connectedAt = now
+		return false
+	}
+	if d.recoveries++; d.recoveries < minRecoveries {
+		return false
+	}
+	d.state = State{Since: now, Cuts: d.state.Cuts}
+	d.connectedAt, d.heardAt, d.recoveries = now, now, 0
+	clear(d.waiting)
+	return true
+}
--- a/internal/proxy/cluster_test.go
+++ b/internal/proxy/cluster_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/limit"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
 
 // fixedCluster is a cluster with a fixed catalogue.
@@ -18,6 +19,8 @@
 	rank int
 	// majorityRead means that other replicas had nothing newer.
 	majorityRead bool
+	// entries are the active VMs.
+	entries []wire.Entry
 	// peerAddrs holds the addresses of other VMs.
 	peerAddrs []string
 	// confirmedAgo is the confirmation age of the catalogue; below 0 it was never confirmed.
@@ -45,8 +48,9 @@
 func (w *fixedCluster) Position(string) limit.Position {
 	return limit.Position{Rank: w.rank, VMs: w.vms, DomainRank: w.rank, Domains: 1}
 }
-func (w *fixedCluster) MajorityRead() bool  { return w.majorityRead }
-func (w *fixedCluster) PeerAddrs() []string { return w.peerAddrs }
+func (w *fixedCluster) MajorityRead() bool                  { return w.majorityRead }
+func (w *fixedCluster) Entries(model.RegionID) []wire.Entry { return w.entries }
+func (w *fixedCluster) PeerAddrs() []string                 { return w.peerAddrs }
 func (w *fixedCluster) ConfirmationAge() (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/proxy/deadly_test.go
+++ b/internal/proxy/deadly_test.go
@@ -115,10 +115,16 @@
 	})
 	assert.NilError(d.t, err)
 	p := New(Options{
-		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: links.dial, Key: d.key, Ends: x,
+		Domain: domain, Cluster: x, Headers: DefaultHeaders, Log: log.NewNopLogger(), Dial: links.dial, Key: d.key, Ends: x, Hop: HopOptions{Dial: (&net.Dialer{Timeout: 250 * time.Millisecond}).DialContext, Self: model.VMID(fmt.Sprintf("v%d", i))},
 		Budget: BudgetOptions{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
 	})
-	srv.Config.Handler = x.Handler()
+	srv.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if IsHopPath(r.URL.Path) {
+			p.HopHandler().ServeHTTP(w, r)
+			return
+		}
+		x.Handler().ServeHTTP(w, r)
+	})
 	srv.Start()
 	d.entries, d.proxies, d.dialers = append(d.entries, x), append(d.proxies, p), append(d.dialers, links)
 	d.t.Cleanup(func() {
@@ -296,6 +302,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			d := newDeployment(t, 3, 10)
 			stop := time.Now().Add(length)
 			var g sync.WaitGroup
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -126,7 +126,7 @@
 	}
 	defer func() { reservation.cancel(p.now()) }()
 	w := p.estimators.get(j.route, j.objective)
-	t.dispatcher.setSlots(slotShare(t.slots(), p.o.Cluster.VMCount(c.RegionOf(p.o.Domain))))
+	t.dispatcher.setSlots(slotShare(t.slots(), p.o.Cluster.VMCount(c.RegionOf(p.o.Domain))-p.hops.askers(now)))
 	at := t.candidate(w, j.key, j.hasAffinity, now)
 	a := queue.Request{
 		Key: j.key, HasAffinity: j.hasAffinity, Priority: j.priority, Deadline: j.deadline, Objective: j.objective,
@@ -257,10 +257,19 @@
 		// other VMs for its result.
 		ctx = context.WithoutCancel(ctx)
 	}
+	if j.delivery == model.Idempotent && p.canRelay() {
+		// The request is sent again through another VM if this one loses its links.
+		var stop context.CancelFunc
+		ctx, stop = p.untilCutOff(ctx)
+		defer stop()
+	}
 	remaining += j.overrun
 	ctx, cancel := context.WithTimeout(ctx, remaining+lateResponseTimeout)
 	defer cancel()
 	t.sendStarted()
+	if p.canRelay() && p.links.Sent(string(t.id), from) {
+		p.startLinkProbe()
+	}
 	wasWarm = !j.hasAffinity || t.warm.IsWarm(j.key)
 	r = t.conns.exchange(ctx, call{
 		method: j.method, uri: j.uri, host: j.host, header: j.header, body: j.body,
@@ -285,6 +294,7 @@
 		t.warm.Add(j.key)
 	}
 	p.observe(j.request, t, r)
+	p.observeLinks(r)
 	p.reportSend(j, t, r, wasWarm)
 	if what := t.sendEnded(r, p.now()); what != "" {
 		p.logTargetEvent(j, t, r, what)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -106,6 +106,12 @@
 	Held []HeldTarget `json:"held"`
 	// Quarantine counts what was done about requests that end targets.
 	Quarantine QuarantineCounts `json:"quarantine"`
+	// CutOff means that this VM has no links to targets, since CutOffMillis; Cuts is how often that
+	// came about, and Hop counts the requests that were relayed by other VMs, or for them.
+	CutOff       bool      `json:"cutOff"`
+	CutOffMillis int64     `json:"cutOffMillis,omitempty"`
+	Cuts         int       `json:"cuts"`
+	Hop          HopCounts `json:"hop"`
 	// Gossip counts the datagrams between the VMs of the failure domain.
 	Gossip gossip.Counts `json:"sights"`
 }
@@ -175,6 +181,10 @@
 		Routes: map[model.RouteID]Latency{}, TargetLatency: latencyOf(m.targetLatency),
 		ServiceTimes: p.estimators.snapshot(), Targets: known, UsableTargets: usable, CatalogueFresh: p.o.Cluster.Fresh(), Held: held,
 	}
+	if s := p.links.State(); s.CutOff {
+		out.CutOff, out.CutOffMillis = true, (p.now() - s.Since).Milliseconds()
+	}
+	out.Cuts, out.Hop = p.links.State().Cuts, p.hops.snapshot()
 	p.quarantine.count(func(n *QuarantineCounts) { out.Quarantine = *n })
 	if p.gossiper != nil {
 		out.Gossip = p.gossiper.Counts()
@@ -218,7 +228,7 @@
 	fresh := p.o.Cluster.Fresh()
 	level.Info(p.o.Log).Log("msg", "answered", "request", q.id, "route", q.route.Name, "service", q.service,
 		"workspace", q.access.workspace.Name, "object", q.object, "digest", q.loggedDigest(), "target", q.target,
-		"status", a.status, "own", a.isLocal, "outcome", q.outcome, "reason", q.reason,
+		"status", a.status, "own", a.isLocal, "outcome", q.outcome, "reason", q.reason, "via", q.via, "relayedFor", q.relayedFor,
 		"sent", q.state.sent, "tries", q.state.tries, "tookMillis", took.Milliseconds(), "waitedMillis", q.queueTime.Milliseconds(),
 		"allowedMillis", max(0, q.deadline-q.start).Milliseconds(), "version", uint64(q.version), "fresh", fresh)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,8 +42,10 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/gossip"
 	"github.com/eelgrassroad/eelgrassroad/internal/group"
 	"github.com/eelgrassroad/eelgrassroad/internal/limit"
+	"github.com/eelgrassroad/eelgrassroad/internal/links"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
+	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log"
 	"golang.org/x/sync/semaphore"
 )
@@ -63,6 +65,8 @@
 	// Position returns the position of this VM among those that serve requests, in an order that
 	// depends on a key.
 	Position(key string) limit.Position
+	// Entries returns the active VMs, nearest to a region first.
+	Entries(home model.RegionID) []wire.Entry
 	// PeerAddrs returns the addresses of the other VMs of this failure domain.
 	PeerAddrs() []string
 	// ConfirmationAge returns the time since the catalogue was last confirmed to be the newest,
@@ -120,6 +124,8 @@
 	// were in flight when targets ended. Without them no request is suspected or banned.
 	Key  *auth.Key
 	Ends EndReporter
+	// Hop configures the hop through other VMs while this one has no links to targets.
+	Hop HopOptions
 	// MaxBodyBytes limits the memory for large request bodies in the same way; 0 means
 	// DefaultMaxBodyBytes.
 	MaxBodyBytes int64
@@ -164,9 +170,13 @@
 	gossiper       *gossip.Agent
 	reporters      reporters
 	quarantine     *quarantine
-	g              *group.Group
-	draining       atomic.Bool
-	refusing       atomic.Bool
+	links          *links.Detector
+	hops           *hops
+	// abandonable are the sends that are given up if this VM loses its links to the targets.
+	abandonable cancels
+	g           *group.Group
+	draining    atomic.Bool
+	refusing    atomic.Bool
 	// finishBy is until when new requests must be answered at the latest, or 0.
 	finishBy atomic.Int64
 	// dispatchStopped is closed when no more requests are sent to targets.
@@ -185,7 +195,7 @@
 		o.MaxBodyBytes = DefaultMaxBodyBytes
 	}
 	p := &Proxy{
-		o: o, now: clock.Stopwatch(), metrics: newMetrics(), quarantine: newQuarantine(), responseMemory: semaphore.NewWeighted(o.MaxBufferedBytes),
+		o: o, now: clock.Stopwatch(), metrics: newMetrics(), quarantine: newQuarantine(), links: links.New(), hops: newHops(o), responseMemory: semaphore.NewWeighted(o.MaxBufferedBytes),
 		bodyMemory: semaphore.NewWeighted(o.MaxBodyBytes),
 		g:          group.New(context.Background()), dispatchStopped: make(chan struct{}),
 	}
@@ -210,6 +220,9 @@
 		err = errors.Join(err, p.gossiper.Close())
 	}
 	p.registry.close()
+	if p.canRelay() {
+		p.hops.client.CloseIdleConnections()
+	}
 	return err
 }
 
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -324,7 +324,7 @@
 // them, and whether it accepts them. Where the others refuse them too, this VM may be cut off.
 func (p *Proxy) refusesConnections(ctx context.Context, t *target) (refuses, accepts bool) {
 	hasLinks := false
-	for _, x := range p.registry.sample(maxWitnesses, t) {
+	for _, x := range p.registry.sample(maxWitnesses, t, func(x *target) bool { return !x.isEjected(p.now()) }) {
 		if hasLinks = x.conns.probe(ctx) == nil; hasLinks {
 			break
 		}
@@ -365,18 +365,18 @@
 	return false
 }
 
-// sample returns up to n random targets that are in service, without one.
-func (r *registry) sample(n int, without *target) []*target {
+// sample returns up to n random targets that are in service and for which match returns true, without
+// one.
+func (r *registry) sample(n int, without *target, match func(*target) bool) []*target {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	now := r.now()
 	var out []*target
 	// The order of a map is random.
 	for _, x := range r.byID {
 		if len(out) == n {
 			break
 		}
-		if x != without && x.isAccepting(now) && !x.isEjected(now) {
+		if x != without && x.isInService() && match(x) {
 			out = append(out, x)
 		}
 	}
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -95,6 +95,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			a, b := newFakeTarget(t, hangUp), newFakeTarget(t, okResponse)
 			w := clusterOf(t, a, b)
 			// The second target is not used by the request, but known.
--- a/internal/proxy/registry.go
+++ b/internal/proxy/registry.go
@@ -168,6 +168,22 @@
 	}
 }
 
+// get returns the target with a name, or nil.
+func (r *registry) get(id model.TargetID) *target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byID[id]
+}
+
+// each calls a function for each target that the catalogue lists.
+func (r *registry) each(f func(*target)) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, x := range r.byID {
+		f(x)
+	}
+}
+
 // byHash returns the target whose name has the hash, or nil.
 func (r *registry) byHash(s place.TargetHash) *target {
 	r.mu.RLock()
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -76,6 +76,11 @@
 	// digest identifies the request when it comes again, if hasDigest.
 	digest    model.RequestDigest
 	hasDigest bool
+	// via is the VM that relayed the request, and relayedFor the VM that asked this one to relay it.
+	via, relayedFor model.VMID
+	// cannotRelay means that this VM refused a request that it was asked to relay, and that another
+	// one may relay it.
+	cannotRelay bool
 }
 
 // response is the result that the caller gets.
@@ -148,6 +153,11 @@
 	if a, ok := q.readBody(c.Routing.Limits); !ok {
 		return a
 	}
+	return p.process(q, c)
+}
+
+// process serves a request whose body is complete.
+func (p *Proxy) process(q *request, c *model.Catalogue) response {
 	done, a, ok := p.admitQuarantined(q)
 	if !ok {
 		return a
@@ -160,7 +170,9 @@
 		// A target's cache for an object depends on the operation, so each route has its own key.
 		q.key = place.HashObject(string(q.route.Name), q.object)
 	}
-	p.retryBudgets.get(q.service).CountBase(p.now())
+	if q.relayedFor == "" {
+		p.retryBudgets.get(q.service).CountBase(p.now())
+	}
 	return p.send(q, c)
 }
 
@@ -237,6 +249,13 @@
 		case state == model.QuarantineSuspected && q.state.possiblyRun:
 			return q.unknownOutcome(reasonSuspected)
 		}
+		if p.links.CutOff() {
+			if q.relayedFor != "" {
+				q.cannotRelay = true
+				return p.hopRefusal(q, reasonCutOff, retryDelay)
+			}
+			return p.sendByHop(q)
+		}
 		t, spillover, ok := p.choose(q, c, tried)
 		if !ok {
 			return p.noTargetResponse(q, c)
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -112,6 +112,13 @@
 		now >= max(t.coldUntil, t.pausedUntil, t.addressTakenUntil)
 }
 
+// isInService reports whether the catalogue lists the target as ready and not drained.
+func (t *target) isInService() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.record.State == model.TargetReady && !t.outOfService
+}
+
 // setInService records whether the catalogue lists the target for new requests. Requests that wait
 // for a target that goes out of service try other targets.
 func (t *target) setInService(ok bool) {
