Try a write again while the disk is full in place of ending the replica

Cause: any failed write ends the replica. For a full disk what is stored is known: part of a record, which can be removed. Class: a fault that passes by itself handled as one that does not.

Change: the store truncates the log to its former size and returns KindFull; the replica tries again every 50 ms.

Why it works: a replica that waits for its disk is one that stalls, which quorums and elections bear already.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
+	"github.com/eelgrassroad/eelgrassroad/internal/store"
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 )
@@ -66,11 +67,40 @@
 		case <-ctx.Done():
 			return nil
 		case w := <-n.writes:
-			n.written <- w()
+			n.written <- n.writeWhenRoom(ctx, w)
 		}
 	}
 }
 
+// fullDiskRetryInterval is the interval at which a write is tried again while the disk is full.
+const fullDiskRetryInterval = 50 * time.Millisecond
+
+// writeWhenRoom runs a write, and tries it again while the disk is full. Until then the replica is one
+// whose disk stalls: it goes on to vote for what it has, and the others make a quorum.
+func (n *Node) writeWhenRoom(ctx context.Context, w func() error) error {
+	err := w()
+	if !errs.Is(err, store.KindFull) {
+		return err
+	}
+	level.Error(n.o.Log).Log("msg", "disk is full", "err", err)
+	for start := n.Now(); errs.Is(err, store.KindFull); err = w() {
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(fullDiskRetryInterval):
+		}
+		if n.Now()-start > fullDiskLogInterval {
+			start = n.Now()
+			level.Error(n.o.Log).Log("msg", "disk is still full", "err", err)
+		}
+	}
+	level.Info(n.o.Log).Log("msg", "disk has room again", "err", err)
+	return err
+}
+
+// fullDiskLogInterval is the interval at which a full disk is logged.
+const fullDiskLogInterval = 10 * time.Second
+
 func (n *Node) withLock(f func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -28,6 +28,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
@@ -43,6 +44,9 @@
 	KindCorrupt Kind = "corrupt"
 	KindDisk    Kind = "disk"
 	KindWrongID Kind = "wrongReplica"
+	// KindFull means that the disk has no room. What was stored before is unchanged, and the write
+	// may be tried again.
+	KindFull Kind = "full"
 )
 
 // Error is the error of this package.
@@ -207,7 +211,7 @@
 }
 
 // Save makes a hard state and entries durable. After a write or sync error the file's
-// contents are unknown, and all further writes fail with that error.
+// contents are unknown, and all further writes fail with that error, except for KindFull.
 func (s *Store) Save(h *eelpb.HardState, entries []*eelpb.LogEntry) error {
 	const op = "store.Save"
 	if s.writeErr != nil {
@@ -218,8 +222,7 @@
 		return errs.New(op, KindDisk, err)
 	}
 	if _, err := s.log.Write(b); err != nil {
-		s.writeErr = errs.New(op, KindDisk, err)
-		return s.writeErr
+		return s.undoWrite(op, err)
 	}
 	if err := s.log.Sync(); err != nil {
 		s.writeErr = errs.New(op, KindDisk, err)
@@ -229,6 +232,23 @@
 	return nil
 }
 
+// undoWrite handles the error of a write to the log. If the disk is full, the part of the record that was
+// written is removed.
+func (s *Store) undoWrite(op string, err error) error {
+	if isFull(err) {
+		if e := errors.Join(s.log.Truncate(s.size), s.log.Sync()); e == nil {
+			return errs.New(op, KindFull, err)
+		}
+	}
+	s.writeErr = errs.New(op, KindDisk, err)
+	return s.writeErr
+}
+
+// isFull reports whether a write failed because there was no room on the disk.
+func isFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
+
 // LogSize returns the size of the current log file in bytes.
 func (s *Store) LogSize() int64 { return s.size }
 
@@ -314,10 +334,14 @@
 
 // writeFile replaces a file atomically: power loss leaves the old file or the whole new one.
 func (s *Store) writeFile(name string, b []byte) error {
-	if err := writeAtomic(s.fs, name, b); err != nil {
-		return errs.New("store.writeFile", KindDisk, err)
+	err := writeAtomic(s.fs, name, b)
+	switch {
+	case err == nil:
+		return nil
+	case isFull(err):
+		return errs.New("store.writeFile", KindFull, err)
 	}
-	return nil
+	return errs.New("store.writeFile", KindDisk, err)
 }
 
 func writeAtomic(f FS, name string, b []byte) error {
