Refuse requests that run once if a planned stop may cut them, from its start

Cause: in the first 3 s of a stop all requests were taken, whatever time they might take, and what was in progress 0.95 s before the end of the grace was cut. Class: work accepted beyond a known end.

Change: requests that run at most once need a deadline before the cut from the stop signal on (Proxy.FinishOnceWithin); the cut comes 0.6 s before the end of the grace.

Why it works: what is taken ends before the cut, and what is refused has not run and is served elsewhere.

--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -31,8 +31,13 @@
 	// retryRatioFraction is the fraction of the retry ratio that is used: the ratio must
 	// hold in an observer's windows too, which start at any time.
 	retryRatioFraction = 0.9
-	// stopMargin is the reserve before the platform kills a process that has not stopped.
-	stopMargin       = 500 * time.Millisecond
+	// stopMargin is the reserve before the platform kills a process that has not stopped: requests in
+	// progress are cut then. dispatchMargin is the time before the kill from which nothing is sent to
+	// targets.
+	stopMargin     = 600 * time.Millisecond
+	dispatchMargin = 1500 * time.Millisecond
+	// overrunMargin is how long after its deadline a request may still be answered.
+	overrunMargin    = 250 * time.Millisecond
 	stopPollInterval = 50 * time.Millisecond
 	// serveAllPeriod is how long after the stop signal every new request is served: for so long,
 	// callers may not know of the stop.
@@ -100,16 +105,17 @@
 
 // stopEntry takes the entry out of service. The entry reports that it is not ready and
 // leaves the directory, serves new requests for half of the grace, refuses them for the
-// remainder, and stops when no request is in progress. Requests that arrive later than
-// serveAllPeriod are served only if they are certain to end in time, however long they take.
-// Requests that still wait for a target near the end are refused while there is time to send
-// the response.
+// remainder, and stops when no request is in progress. Requests that run at most once are served
+// only if they are certain to be answered in time, however long they take; so are all that arrive
+// later than serveAllPeriod. Requests that still wait for a target near the end are refused while
+// there is time to send the response.
 func (d *daemon) stopEntry(x *entry.Entry, f *proxy.Proxy, grace time.Duration) {
 	start := time.Now()
 	f.Drain()
+	f.FinishOnceWithin(grace - stopMargin - overrunMargin)
 	x.AnnounceLeave()
 	time.Sleep(min(grace/2, serveAllPeriod))
-	f.FinishWithin(grace - 3*stopMargin - time.Since(start))
+	f.FinishWithin(grace - stopMargin - overrunMargin - time.Since(start))
 	time.Sleep(grace/2 - time.Since(start))
 	f.Refuse()
 	wait := func(limit time.Duration) {
@@ -117,10 +123,10 @@
 			time.Sleep(stopPollInterval)
 		}
 	}
-	wait(grace - 3*stopMargin)
+	wait(grace - dispatchMargin)
 	f.StopDispatch()
-	wait(grace - 2*stopMargin)
-	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, grace-2*stopMargin-time.Since(start)))
+	wait(grace - stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), max(stopPollInterval, grace-stopMargin-time.Since(start)))
 	defer cancel()
 	d.shutdown(ctx)
 	level.Info(d.l).Log("msg", "drained", "millis", time.Since(start).Milliseconds(), "inFlight", f.InFlight())
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -381,7 +381,7 @@
 	q.state = sendState{delivery: route.Delivery, maxSends: min(route.MaxAttempts, int(m.MaxSends))}
 	q.deadline = q.start + min(time.Duration(m.RemainingMs)*time.Millisecond, route.TimeoutMillis.Duration())
 	q.overrun = min(maxOverrun, time.Duration(m.OverrunMs)*time.Millisecond)
-	if at := p.finishBy.Load(); at > 0 && int64(q.deadline) > at {
+	if p.isTooLate(q) {
 		return q.relayRefusal(reasonStopping)
 	}
 	return p.process(q, c)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -177,8 +177,9 @@
 	g           *group.Group
 	draining    atomic.Bool
 	refusing    atomic.Bool
-	// finishBy is until when new requests must be answered at the latest, or 0.
-	finishBy atomic.Int64
+	// finishBy and finishOnceBy are until when new requests must be answered at the latest, or 0:
+	// those that may run again, and those that may not.
+	finishBy, finishOnceBy atomic.Int64
 	// dispatchStopped is closed when no more requests are sent to targets.
 	dispatchStopped chan struct{}
 	stopOnce        sync.Once
@@ -230,7 +231,23 @@
 func (p *Proxy) Drain() { p.draining.Store(true) }
 
 // FinishWithin refuses new requests that may take longer than d from now until they are answered.
-func (p *Proxy) FinishWithin(d time.Duration) { p.finishBy.Store(int64(p.now() + d)) }
+func (p *Proxy) FinishWithin(d time.Duration) {
+	p.finishBy.Store(int64(p.now() + d))
+	p.FinishOnceWithin(d)
+}
+
+// FinishOnceWithin is FinishWithin for requests that run at most once: if such a request is cut, its
+// caller cannot send it again.
+func (p *Proxy) FinishOnceWithin(d time.Duration) { p.finishOnceBy.Store(int64(p.now() + d)) }
+
+// isTooLate reports whether a request may take longer than there is time until the process ends.
+func (p *Proxy) isTooLate(q *request) bool {
+	at := p.finishBy.Load()
+	if q.route.Delivery == model.AtMostOnce {
+		at = p.finishOnceBy.Load()
+	}
+	return at > 0 && int64(q.deadline) > at
+}
 
 // Refuse rejects all further requests: they have not run and never will.
 func (p *Proxy) Refuse() { p.refusing.Store(true) }
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -137,7 +137,7 @@
 	q.route = route
 	q.state = sendState{delivery: route.Delivery, maxSends: route.MaxAttempts}
 	q.setDeadline(p.o.Headers)
-	if at := p.finishBy.Load(); at > 0 && int64(q.deadline) > at {
+	if p.isTooLate(q) {
 		return q.refusal(reasonStopping, 0)
 	}
 	if a, ok := p.admit(q, c); !ok {
