Count targets that end together once as evidence against a request

Callers saw: nothing yet. Read in the code of the ban: a popular request is in flight at all targets of a service that end at the same moment, and is banned for good if none is back within 0.6 s to give a whole response.

Cause: each target that ends counted for itself. Class: events with a common cause taken for independent ones.

Change: ends closer than 0.1 s count as one moment; two moments suspect a request and three ban it. A new leader keeps the moments (agoMillis). A suspected request that another VM relays is kept apart by that VM only.

Why it works: a deadly request ends targets at different moments, a loss of power or a bad release at one.

--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -10,10 +10,16 @@
 )
 
 const (
-	// suspectEnds and banEnds are the numbers of ends in a row after which a request is suspected
-	// and banned.
+	// suspectEnds and banEnds are the numbers of ends in a row, at different moments, after which a
+	// request is suspected and banned.
 	suspectEnds = 2
 	banEnds     = 3
+	// sameMoment is how close two ends are that count as one: targets that end together have a common
+	// cause, such as a failure domain that loses power, and a popular request is in flight at all of
+	// them.
+	sameMoment = 100 * time.Millisecond
+	// maxEndsOfMoment bounds the ends that are kept of one moment.
+	maxEndsOfMoment = 2
 	// settleTime is how long after a request was suspected it can be banned at the earliest: by then
 	// the VMs have reported whole responses to it.
 	settleTime = 600 * time.Millisecond
@@ -66,8 +72,10 @@
 	request Request
 	// ends are those since the last whole response, oldest first.
 	ends []end
-	// wholeAt is when the last send started that got a whole response.
-	wholeAt time.Duration
+	// wholeAt is when the last send started that got a whole response, if hasWhole. Times may be
+	// negative: an end may have been before the leader started.
+	wholeAt  time.Duration
+	hasWhole bool
 	// state is the committed state, since stateAt; it is empty if there is none.
 	state   model.QuarantineState
 	stateAt time.Duration
@@ -89,7 +97,7 @@
 	for d, q := range quarantined {
 		s := &suspect{request: Request{d, q.Route, q.Service}, state: q.State, stateAt: now, lastAt: now}
 		for _, e := range q.Ends {
-			s.ends = append(s.ends, end{target: e.Target, incarnation: e.Incarnation, at: now, vms: e.VMs})
+			s.ends = append(s.ends, end{target: e.Target, incarnation: e.Incarnation, at: now - time.Duration(e.AgoMillis)*time.Millisecond, vms: e.VMs})
 		}
 		l.suspects[d] = s
 	}
@@ -110,8 +118,10 @@
 }
 
 func (s *suspect) add(x End) {
-	s.lastAt = max(s.lastAt, x.At)
-	if s.state == model.QuarantineBanned || s.wholeAt > x.At {
+	if len(s.ends) == 0 || x.At > s.lastAt {
+		s.lastAt = x.At
+	}
+	if s.state == model.QuarantineBanned || s.hasWhole && s.wholeAt > x.At {
 		return
 	}
 	i := slices.IndexFunc(s.ends, func(e end) bool { return e.target == x.Target && e.incarnation == x.Incarnation })
@@ -121,9 +131,28 @@
 		}
 		return
 	}
-	if len(s.ends) < maxEndsKept {
+	together := 0
+	for _, e := range s.ends {
+		if (e.at - x.At).Abs() < sameMoment {
+			together++
+		}
+	}
+	if len(s.ends) < maxEndsKept && together < maxEndsOfMoment {
 		s.ends = append(s.ends, end{target: x.Target, incarnation: x.Incarnation, at: x.At, vms: []model.VMID{x.VM}})
+		slices.SortFunc(s.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
+	}
+}
+
+// moments returns the number of moments at which targets ended.
+func (s *suspect) moments() int {
+	n := 0
+	last := time.Duration(0)
+	for _, e := range s.ends {
+		if n == 0 || e.at-last >= sameMoment {
+			n, last = n+1, e.at
+		}
 	}
+	return n
 }
 
 // makeRoom drops the older half of the requests that are neither suspected nor banned if there are
@@ -151,7 +180,9 @@
 	if !ok || s.state == model.QuarantineBanned {
 		return
 	}
-	s.wholeAt = max(s.wholeAt, startedAt)
+	if !s.hasWhole || startedAt > s.wholeAt {
+		s.wholeAt, s.hasWhole = startedAt, true
+	}
 	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.at < startedAt+reportSkew })
 }
 
@@ -159,7 +190,7 @@
 // again soon.
 func (l *Ledger) Pending() bool {
 	for _, s := range l.suspects {
-		if s.state == model.QuarantineSuspected && len(s.ends) >= banEnds || s.want(s.stateAt+settleTime) != s.state {
+		if s.state == model.QuarantineSuspected && s.moments() >= banEnds || s.want(s.stateAt+settleTime) != s.state {
 			return true
 		}
 	}
@@ -171,9 +202,9 @@
 	switch {
 	case s.state == model.QuarantineBanned:
 		return model.QuarantineBanned
-	case s.state == model.QuarantineSuspected && len(s.ends) >= banEnds && now >= s.stateAt+settleTime:
+	case s.state == model.QuarantineSuspected && s.moments() >= banEnds && now >= s.stateAt+settleTime:
 		return model.QuarantineBanned
-	case len(s.ends) >= suspectEnds:
+	case s.moments() >= suspectEnds:
 		return model.QuarantineSuspected
 	}
 	return ""
@@ -209,7 +240,7 @@
 		s.changing = true
 		c := Change{Digest: d}
 		if want != "" {
-			c.Quarantine = s.quarantine(want)
+			c.Quarantine = s.quarantine(want, now)
 		}
 		out = append(out, c)
 	}
@@ -218,10 +249,10 @@
 
 func compareDigests(a, b model.RequestDigest) int { return cmp.Compare(a.String(), b.String()) }
 
-func (s *suspect) quarantine(state model.QuarantineState) *model.Quarantine {
+func (s *suspect) quarantine(state model.QuarantineState, now time.Duration) *model.Quarantine {
 	q := &model.Quarantine{State: state, Route: s.request.Route, Service: s.request.Service}
 	for _, e := range s.ends {
-		q.Ends = append(q.Ends, model.TargetEnd{Target: e.target, Incarnation: e.incarnation, VMs: e.vms})
+		q.Ends = append(q.Ends, model.TargetEnd{Target: e.target, Incarnation: e.incarnation, AgoMillis: model.Millis((now - e.at).Milliseconds()), VMs: e.vms})
 	}
 	return q
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -4,8 +4,8 @@
 // A request is identified by a digest of what makes it the same request when it comes again: its
 // method, host, URI, caller and body. VMs report to the leading replica which requests were in
 // flight at a target when it ended, and whether one of them got a whole response elsewhere. The
-// leader's Ledger decides: a request that was in flight at two ends in a row is suspected, at three
-// it is banned. A whole response in between clears it: a target runs several requests at once, and
+// leader's Ledger decides: a request that was in flight at the ends of targets at two moments
+// in a row is suspected, at three it is banned. A whole response in between clears it: a target runs several requests at once, and
 // one that is popular is in flight at many ends without being their cause.
 //
 // # Usage
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -157,7 +157,9 @@
 	case model.QuarantineBanned:
 		return done, p.bannedResponse(q), false
 	case model.QuarantineSuspected:
-		return p.awaitDecision(q)
+		if q.relayedFor == "" { // The VM that relays its callers' requests keeps suspected ones apart.
+			return p.awaitDecision(q)
+		}
 	}
 	return done, response{}, true
 }
--- a/pkg/model/quarantine.go
+++ b/pkg/model/quarantine.go
@@ -52,6 +52,8 @@
 type TargetEnd struct {
 	Target      TargetID `json:"target"`
 	Incarnation uint64   `json:"incarnation"`
+	// AgoMillis is how long before SinceMillis the target ended.
+	AgoMillis Millis `json:"agoMillis,omitempty"`
 	// VMs are those that reported it.
 	VMs []VMID `json:"vms,omitempty"`
 }
