--- a/internal/proxy/ends.go
+++ b/internal/proxy/ends.go
@@ -11,6 +11,26 @@
 	"github.com/go-kit/log/level"
 )
 
+const (
+	// maxBrokenSends bounds the requests that are reported for one end.
+	maxBrokenSends = 64
+	// brokenSendsDelay is how long to wait for further sends that break with the same target.
+	brokenSendsDelay = 20 * time.Millisecond
+	// endConfirmInterval and endConfirmTimeout are for the search for a sign that a target has ended:
+	// it is down, or back with a new incarnation.
+	endConfirmInterval = 250 * time.Millisecond
+	endConfirmTimeout  = 4 * time.Second
+	// maxWitnesses is the number of other targets that are dialled to find out whether this VM itself
+	// is cut off.
+	maxWitnesses = 3
+)
+
+// brokenSends are the requests whose connections to a target broke at about the same time.
+type brokenSends struct {
+	at       time.Duration
+	requests []poison.Request
+}
+
 // observe records what the result of a send says about its request.
 func (p *Proxy) observe(q *request, t *target, r result) {
 	if p.o.Ends == nil || p.o.Key == nil {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -37,17 +37,6 @@
 	// maxRememberedBody is the size of the largest request body that is hashed although nothing is
 	// known against the request.
 	maxRememberedBody = 64 << 10
-	// maxBrokenSends bounds the requests that are reported for one end.
-	maxBrokenSends = 64
-	// brokenSendsDelay is how long to wait for further sends that break with the same target.
-	brokenSendsDelay = 20 * time.Millisecond
-	// endConfirmInterval and endConfirmTimeout are for the search for a sign that a target has ended:
-	// it is down, or back with a new incarnation.
-	endConfirmInterval = 250 * time.Millisecond
-	endConfirmTimeout  = 4 * time.Second
-	// maxWitnesses is the number of other targets that are dialled to find out whether this VM itself
-	// is cut off.
-	maxWitnesses = 3
 )
 
 // quarantine observes which requests end targets, and keeps suspected ones apart.
@@ -62,12 +51,6 @@
 	counts   QuarantineCounts
 }
 
-// brokenSends are the requests whose connections to a target broke at about the same time.
-type brokenSends struct {
-	at       time.Duration
-	requests []poison.Request
-}
-
 // trial is the state of a suspected request at this VM, which sends one at a time.
 type trial struct {
 	running bool
