Take full links of a VM for no cut

Cause: dials that time out were taken for a cut; over a full link they time out too, and each hop passes the link twice, which fills it more. Class: a remedy that feeds its cause.

Change: dials that time out are a cut only if no target has responded for a second, and one has since the start of the process; two rounds of dials; a response ends the state. Dials that are refused are a cut at once. No probe while links may only be full.

Why it works: a full link still brings responses, a cut one none.

--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -3,14 +3,15 @@
 //
 // A failed send, or silence of several targets at once, is a reason to probe: the VM dials some
 // targets of any service at once. If none accepts, the VM is cut off, and it probes on until its
-// links are back. Connections that were open before the cut tell little: they may live on while new
-// ones are refused.
+// links are back. Connections that were open before the cut tell little if new ones are refused: they
+// may live on. If the dials time out, a target that responds meanwhile shows that the links are only
+// full: a hop through another VM would fill them more.
 //
 // # Usage
 //
 //	d := links.New()
-//	if d.Failed(now) {
-//		d.Probed(dialled, accepted, now)
+//	if d.Failed(true, now) {
+//		d.Probed(links.Probe{Dialled: 6, Accepted: 1}, later)
 //	}
 //	if d.CutOff() { ... }
 //
@@ -28,6 +29,9 @@
 	silenceTime = 250 * time.Millisecond
 	// minSilent is the number of targets that must be silent.
 	minSilent = 2
+	// minCutSilence is how long no target may have responded before dials that time out are taken for
+	// a cut.
+	minCutSilence = time.Second
 	// probePause is the minimum time between two probes while the links are up.
 	probePause = 250 * time.Millisecond
 	// connectedTTL is how long an established connection proves that the links are up.
@@ -50,6 +54,16 @@
 	Cuts int
 }
 
+// Probe is the result of dialling some targets.
+type Probe struct {
+	// Dialled is the number of targets, Accepted and Refused that of those that accepted and refused
+	// the connection; the others did not respond in time.
+	Dialled, Accepted, Refused int
+}
+
+// isRefused reports whether all targets refused the connection.
+func (p Probe) isRefused() bool { return p.Dialled >= minDialled && p.Refused == p.Dialled }
+
 // Detector decides whether a VM is cut off. It is safe for concurrent use.
 type Detector struct {
 	mu    sync.Mutex
@@ -57,11 +71,14 @@
 	// heardAt and connectedAt are when a target last responded and when a connection was last
 	// established.
 	heardAt, connectedAt time.Duration
-	// waiting holds targets that got a request since heardAt.
-	waiting    map[string]bool
-	probing    bool
-	probedAt   time.Duration
-	recoveries int
+	// refused means that the VM is cut off since connections are refused.
+	refused bool
+	// waiting holds targets that got a request since silentSince and have not responded.
+	waiting     map[string]bool
+	silentSince time.Duration
+	probing     bool
+	probedAt    time.Duration
+	recoveries  int
 }
 
 // New returns a detector for links that are up.
@@ -85,20 +102,25 @@
 	defer d.mu.Unlock()
 	if len(d.waiting) == 0 {
 		// Silence begins with the first request that waits.
-		d.heardAt = now
+		d.silentSince = now
 	}
 	if len(d.waiting) < maxWaiting {
 		d.waiting[target] = true
 	}
-	return len(d.waiting) >= minSilent && now-d.heardAt > silenceTime && d.startProbe(now)
+	return len(d.waiting) >= minSilent && now-d.silentSince > silenceTime && d.isSilent(silenceTime, now) && d.startProbe(now)
 }
 
-// Heard records that a target responded.
-func (d *Detector) Heard(now time.Duration) {
+// Heard records that a target responded. It reports whether that shows that the links are back.
+func (d *Detector) Heard(now time.Duration) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.heardAt = now
 	clear(d.waiting)
+	if !d.state.CutOff || d.refused {
+		return false
+	}
+	d.restore(now)
+	return true
 }
 
 // Connected records that a connection to a target was established.
@@ -109,11 +131,12 @@
 }
 
 // Failed records that a target could not be reached or that a connection broke, and reports whether
-// the caller is to probe.
-func (d *Detector) Failed(now time.Duration) (probe bool) {
+// the caller is to probe. If the target did not respond at all, neither refused nor reset the
+// connection, the links may be full, and probes would fill them more: there is none before silence.
+func (d *Detector) Failed(refused bool, now time.Duration) (probe bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.connectedAt > 0 && now-d.connectedAt < connectedTTL {
+	if d.connectedAt > 0 && now-d.connectedAt < connectedTTL || !refused && !d.isSilent(silenceTime, now) {
 		return false
 	}
 	return d.startProbe(now)
@@ -128,19 +151,18 @@
 	return true
 }
 
-// Probed records the result of a probe: how many targets were dialled, and how many of them accepted.
-// It reports whether the state changed.
-func (d *Detector) Probed(dialled, accepted int, now time.Duration) (changed bool) {
+// Probed records the result of a probe, and reports whether the state changed.
+func (d *Detector) Probed(p Probe, now time.Duration) (changed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.probing, d.probedAt = false, now
 	switch {
-	case accepted == 0:
+	case p.Accepted == 0:
 		d.recoveries = 0
-		if d.state.CutOff || dialled < minDialled {
+		if d.state.CutOff || p.Dialled < minDialled || !p.isRefused() && !d.isSilent(minCutSilence, now) {
 			return false
 		}
-		d.state = State{CutOff: true, Since: now, Cuts: d.state.Cuts + 1}
+		d.state, d.refused = State{CutOff: true, Since: now, Cuts: d.state.Cuts + 1}, p.isRefused()
 		return true
 	case !d.state.CutOff:
 		d.connectedAt = now
@@ -149,8 +171,20 @@
 	if d.recoveries++; d.recoveries < minRecoveries {
 		return false
 	}
-	d.state = State{Since: now, Cuts: d.state.Cuts}
-	d.connectedAt, d.heardAt, d.recoveries = now, now, 0
-	clear(d.waiting)
+	d.connectedAt = now
+	d.restore(now)
 	return true
 }
+
+// isSilent reports whether no target has responded for a while, although one has before. A
+// process that has just started has heard of no target, and its links are fullest then. The caller
+// holds the lock.
+func (d *Detector) isSilent(length, now time.Duration) bool {
+	return d.heardAt > 0 && now-d.heardAt >= length
+}
+
+// restore records that the links are back; the caller holds the lock.
+func (d *Detector) restore(now time.Duration) {
+	d.state, d.recoveries = State{Since: now, Cuts: d.state.Cuts}, 0
+	clear(d.waiting)
+}
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -165,7 +165,7 @@
 func (c *conns) exchange(ctx context.Context, q call) result {
 	x, err := c.get(ctx)
 	if err != nil {
-		return result{outcome: unreached, reason: "target not reached: " + err.Error()}
+		return result{outcome: unreached, reason: "target not reached: " + err.Error(), connRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	stop := context.AfterFunc(ctx, func() { x.Close() })
 	r, keep := result{outcome: refused}, true
--- a/internal/proxy/decide.go
+++ b/internal/proxy/decide.go
@@ -68,6 +68,8 @@
 	retryAfter time.Duration
 	// broke means that the connection broke before the response was complete.
 	broke bool
+	// connRefused means that the target refused the connection.
+	connRefused bool
 	// reused means that the connection had carried other requests before.
 	reused bool
 }
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/links"
 	"github.com/go-kit/log/level"
 )
 
@@ -13,6 +16,9 @@
 	// linkProbeTargets is the number of targets that a probe of the VM's own links dials. Half of all
 	// targets may be down without a false conclusion in more than one of 64 probes.
 	linkProbeTargets = 6
+	// linkProbeRounds is the number of times that targets are dialled before the VM takes their silence
+	// for a fault of its links.
+	linkProbeRounds = 2
 	// linkProbeInterval is the time between two probes while the VM is cut off.
 	linkProbeInterval = 300 * time.Millisecond
 )
@@ -23,12 +29,14 @@
 	switch {
 	case !p.canRelay() || r.outcome == refused:
 	case r.outcome == responded || r.outcome == notRun:
-		p.links.Heard(now)
+		if p.links.Heard(now) {
+			p.linksChanged()
+		}
 		if !r.reused {
 			p.links.Connected(now)
 		}
 	case !r.aborted && (r.outcome == unreached || r.broke):
-		if p.links.Failed(now) {
+		if p.links.Failed(r.connRefused || r.broke, now) {
 			p.startLinkProbe()
 		}
 	}
@@ -46,28 +54,49 @@
 	})
 }
 
-// probeLinks dials some targets of any service. When the VM is cut off, requests that wait for a
-// target are rerouted; when its links are back, the targets that it ejected meanwhile are in use again.
+// probeLinks dials some targets of any service, and some more if the first ones do not respond in time.
 func (p *Proxy) probeLinks(ctx context.Context) {
+	var r links.Probe
+	for range linkProbeRounds {
+		p.dialSome(ctx, &r)
+		if r.Accepted > 0 || r.Refused == r.Dialled || p.links.CutOff() {
+			break
+		}
+	}
+	if ctx.Err() == nil && p.links.Probed(r, p.now()) {
+		level.Warn(p.o.Log).Log("msg", "links to targets changed", "cutOff", p.links.CutOff(), "dialled", r.Dialled, "accepted", r.Accepted, "refused", r.Refused)
+		p.linksChanged()
+	}
+}
+
+// dialSome dials some targets at once, and adds the outcome to a probe.
+func (p *Proxy) dialSome(ctx context.Context, r *links.Probe) {
 	list := p.registry.sample(linkProbeTargets, nil, func(*target) bool { return true })
-	var accepted atomic.Int64
+	var accepted, refused atomic.Int64
 	var g sync.WaitGroup
 	for _, t := range list {
 		g.Go(func() {
-			if t.conns.probe(ctx) == nil {
+			switch err := t.conns.probe(ctx); {
+			case err == nil:
 				accepted.Add(1)
+			case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+				refused.Add(1)
 			}
 		})
 	}
 	g.Wait()
-	if ctx.Err() != nil || !p.links.Probed(len(list), int(accepted.Load()), p.now()) {
-		return
-	}
+	r.Dialled += len(list)
+	r.Accepted += int(accepted.Load())
+	r.Refused += int(refused.Load())
+}
+
+// linksChanged gives up what waits for a target when the VM is cut off; when its links are back, the
+// targets that it ejected meanwhile are in use again.
+func (p *Proxy) linksChanged() {
 	cutOff := p.links.CutOff()
 	if cutOff {
 		p.abandonable.callAll()
 	}
-	level.Warn(p.o.Log).Log("msg", "links to targets changed", "cutOff", cutOff, "dialled", len(list), "accepted", accepted.Load())
 	p.registry.each(func(t *target) {
 		if cutOff {
 			t.dispatcher.rerouteWaiting()
