Let the ends of a banned request explain those of others

Cause: requests on the object of a deadly one are sent to the same targets, and their callers send them again when these end; three ends in a row without a whole response were theirs too. Class: correlated evidence taken for independent.

Change: the request with the most ends is decided on first; ends at which a banned request was in flight count against no other, whatever the order of reports.

Why it works: one deadly request suffices as the cause of an end; a second one is found by ends of its own.

--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -31,6 +32,8 @@
 	maxQuarantined = 1024
 	// maxEndsKept bounds the ends that are listed for a request.
 	maxEndsKept = 8
+	// maxLifetimes bounds the ends that are remembered for a request to explain those of others.
+	maxLifetimes = 64
 	// reportSkew is an allowance for the delay of a report.
 	reportSkew = 100 * time.Millisecond
 )
@@ -59,12 +62,17 @@
 	Quarantine *model.Quarantine
 }
 
-// end is the end of one incarnation of a target.
-type end struct {
+// lifetime is one incarnation of a target.
+type lifetime struct {
 	target      model.TargetID
 	incarnation uint64
-	at          time.Duration
-	vms         []model.VMID
+}
+
+// end is the end of one incarnation of a target.
+type end struct {
+	lifetime
+	at  time.Duration
+	vms []model.VMID
 }
 
 // suspect is the evidence against one request.
@@ -82,24 +90,35 @@
 	// changing means that a decision is being committed.
 	changing bool
 	lastAt   time.Duration
+	// lifetimes are all that ended with the request in flight, up to maxLifetimes.
+	lifetimes map[lifetime]bool
 }
 
 // Ledger holds the evidence against requests, at the leading replica. It is not safe for concurrent
 // use.
 type Ledger struct {
 	suspects map[model.RequestDigest]*suspect
+	// explained are the ends at which a banned request was in flight. They do not count against other
+	// requests: one that shares the object of a banned request is sent to the same targets.
+	explained map[lifetime]time.Duration
 }
 
 // NewLedger returns a ledger that starts with the requests that are quarantined already. A request
 // that is only suspected keeps the number of its ends.
 func NewLedger(quarantined map[model.RequestDigest]model.Quarantine, now time.Duration) *Ledger {
-	l := &Ledger{suspects: map[model.RequestDigest]*suspect{}}
+	l := &Ledger{suspects: map[model.RequestDigest]*suspect{}, explained: map[lifetime]time.Duration{}}
 	for d, q := range quarantined {
 		s := &suspect{request: Request{d, q.Route, q.Service}, state: q.State, stateAt: now, lastAt: now}
 		for _, e := range q.Ends {
-			s.ends = append(s.ends, end{target: e.Target, incarnation: e.Incarnation, at: now - time.Duration(e.AgoMillis)*time.Millisecond, vms: e.VMs})
+			s.ends = append(s.ends, end{lifetime: lifetime{e.Target, e.Incarnation}, at: now - time.Duration(e.AgoMillis)*time.Millisecond, vms: e.VMs})
 		}
 		l.suspects[d] = s
+		for _, e := range s.ends {
+			s.see(e.lifetime)
+			if q.State == model.QuarantineBanned {
+				l.explained[e.lifetime] = e.at
+			}
+		}
 	}
 	return l
 }
@@ -113,10 +132,24 @@
 			s = &suspect{request: r}
 			l.suspects[r.Digest] = s
 		}
+		s.see(lifetime{x.Target, x.Incarnation})
+		if s.state == model.QuarantineBanned {
+			l.explained[lifetime{x.Target, x.Incarnation}] = x.At
+		}
 		s.add(x)
 	}
 }
 
+// see records that a target ended with the request in flight.
+func (s *suspect) see(t lifetime) {
+	if s.lifetimes == nil {
+		s.lifetimes = map[lifetime]bool{}
+	}
+	if len(s.lifetimes) < maxLifetimes {
+		s.lifetimes[t] = true
+	}
+}
+
 func (s *suspect) add(x End) {
 	if len(s.ends) == 0 || x.At > s.lastAt {
 		s.lastAt = x.At
@@ -124,7 +157,7 @@
 	if s.state == model.QuarantineBanned || s.hasWhole && s.wholeAt > x.At {
 		return
 	}
-	i := slices.IndexFunc(s.ends, func(e end) bool { return e.target == x.Target && e.incarnation == x.Incarnation })
+	i := slices.IndexFunc(s.ends, func(e end) bool { return e.lifetime == lifetime{x.Target, x.Incarnation} })
 	if i >= 0 {
 		if !slices.Contains(s.ends[i].vms, x.VM) {
 			s.ends[i].vms = append(s.ends[i].vms, x.VM)
@@ -138,7 +171,7 @@
 		}
 	}
 	if len(s.ends) < maxEndsKept && together < maxEndsOfMoment {
-		s.ends = append(s.ends, end{target: x.Target, incarnation: x.Incarnation, at: x.At, vms: []model.VMID{x.VM}})
+		s.ends = append(s.ends, end{lifetime: lifetime{x.Target, x.Incarnation}, at: x.At, vms: []model.VMID{x.VM}})
 		slices.SortFunc(s.ends, func(a, b end) int { return cmp.Compare(a.at, b.at) })
 	}
 }
@@ -216,6 +249,7 @@
 func (l *Ledger) Decide(isKnown func(model.RequestDigest) bool, now time.Duration) []Change {
 	var out []Change
 	quarantined := 0
+	maps.DeleteFunc(l.explained, func(_ lifetime, at time.Duration) bool { return now-at > evidenceTTL })
 	for d, s := range l.suspects {
 		s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return s.state != model.QuarantineBanned && now-e.at > evidenceTTL })
 		switch {
@@ -228,8 +262,10 @@
 			quarantined++
 		}
 	}
-	for _, d := range slices.SortedFunc(maps.Keys(l.suspects), compareDigests) {
+	// The request with the most ends is decided on first, and explains those of the others.
+	for _, d := range slices.SortedFunc(maps.Keys(l.suspects), l.compareEvidence) {
 		s := l.suspects[d]
+		l.dropExplained(s)
 		want := s.want(now)
 		if s.changing || want == s.state || s.state == "" && quarantined >= maxQuarantined {
 			continue
@@ -238,6 +274,11 @@
 			quarantined++
 		}
 		s.changing = true
+		if want == model.QuarantineBanned {
+			for t := range s.lifetimes {
+				l.explained[t] = now
+			}
+		}
 		c := Change{Digest: d}
 		if want != "" {
 			c.Quarantine = s.quarantine(want, now)
@@ -247,7 +288,21 @@
 	return out
 }
 
-func compareDigests(a, b model.RequestDigest) int { return cmp.Compare(a.String(), b.String()) }
+// compareEvidence orders requests by the number of ends, the highest first.
+func (l *Ledger) compareEvidence(a, b model.RequestDigest) int {
+	return cmp.Or(cmp.Compare(len(l.suspects[b].lifetimes), len(l.suspects[a].lifetimes)), bytes.Compare(a[:], b[:]))
+}
+
+// dropExplained drops the ends of a request at which a banned one was in flight too.
+func (l *Ledger) dropExplained(s *suspect) {
+	if s.state == model.QuarantineBanned || s.changing {
+		return
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool {
+		_, ok := l.explained[e.lifetime]
+		return ok
+	})
+}
 
 func (s *suspect) quarantine(state model.QuarantineState, now time.Duration) *model.Quarantine {
 	q := &model.Quarantine{State: state, Route: s.request.Route, Service: s.request.Service}
