Begin a leader's ledgers with the first renewal again

Cause: the loop that decides on deadly requests created the leader's ledgers, and with them that of allowances, up to a second before the first VM renewed. That one gathers reports for a while before it hands out credit; the while was over when most VMs came, and the first of them got all credit. Class: a side effect of a read.

TestLedgersBeginWithFirstRenewal failed before.

Change: the loop uses the ledger only where a renewal has begun it.

Why it works: the while begins with the first VM again, as before.

--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -75,9 +75,10 @@
 // on which to decide again soon.
 func (s *Server) decide(ctx context.Context) (pending bool) {
 	s.mu.Lock()
-	_, _, leads := s.leaderState()
+	// The leader's ledgers begin with the first renewal: that of allowances gathers reports from then on.
+	t, _, leads := s.o.Node.Leadership()
 	l := s.suspects
-	if !leads {
+	if !leads || l == nil || s.term != t {
 		s.mu.Unlock()
 		return false
 	}
--- a/internal/server/quarantine_test.go
+++ b/internal/server/quarantine_test.go
@@ -75,3 +75,19 @@
 	awaitState(t, s, banned, "")
 	awaitState(t, s, suspected, model.QuarantineBanned)
 }
+
+// The ledgers of a leader begin with the first renewal, however long after the election that is: the one
+// of allowances gathers the reports of all VMs for a while before it hands out credit. After all VMs had
+// been killed, the first of them got the credit of all others.
+func TestLedgersBeginWithFirstRenewal(t *testing.T) {
+	s := newServer(t)
+	time.Sleep(idleDecideInterval + 200*time.Millisecond)
+	s.mu.Lock()
+	early := s.ledger != nil
+	s.mu.Unlock()
+	assert.Assert(t, !early, "a ledger began before the first renewal")
+	renewEnd(t, s, 1, "", model.RequestDigest{})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	assert.Assert(t, s.ledger != nil && s.suspects != nil)
+}
