--- a/review/7/platform/cases.go
+++ b/review/7/platform/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"sort"
 	"sync"
@@ -135,6 +136,19 @@
 // restartBehindCut: a front machine is partitioned from all back ends. Its process is killed, starts again
 // behind the partition, and serves nobody, while the other machines could serve its clients.
 func restartBehindCut(l *lab, trouble bool) (bool, error) {
+	return behindCut(l, trouble, os.Getenv("KILL") != "0", l.cutFront)
+}
+
+// acceptedAndReset: the connections of a front machine to the back ends are accepted and reset at once.
+func acceptedAndReset(l *lab, trouble bool) (bool, error) {
+	return behindCut(l, trouble, false, func(ip string) error {
+		l.resetFront(ip)
+		return nil
+	})
+}
+
+// behindCut cuts a front machine off from the back ends, may kill its process, and counts its first tries.
+func behindCut(l *lab, trouble, kill bool, cut func(ip string) error) (bool, error) {
 	if err := l.deploy(); err != nil {
 		return false, err
 	}
@@ -163,12 +177,12 @@
 	cutAt := l.now()
 	if trouble {
 		l.logf("%s is partitioned from all back ends", f.name)
-		if err := l.cutFront(f.ip); err != nil {
+		if err := cut(f.ip); err != nil {
 			return false, err
 		}
 	}
 	l.sleepUntil(cutAt + 300*time.Millisecond)
-	if trouble && os.Getenv("KILL") != "0" {
+	if trouble && kill {
 		l.logf("the process of %s is killed", f.name)
 		f.kill()
 		time.Sleep(300 * time.Millisecond)
@@ -179,7 +193,7 @@
 	startedAt := l.now()
 	l.sleepUntil(end)
 	l.logf("the partition ends")
-	if err := l.cutFront(""); err != nil {
+	if err := cut(""); err != nil {
 		return false, err
 	}
 	g.Wait()
@@ -299,3 +313,97 @@
 	}
 	return n
 }
+
+// upgrade replaces the process of a machine by the present build, as planned work.
+func (m *machine) upgrade() error {
+	m.signal(syscall.SIGTERM)
+	m.wait()
+	m.program, m.firstStart = "", false
+	return m.run()
+}
+
+// upgradeStopsChanges: a deployment of an earlier landed build is upgraded machine by machine. When the core
+// and two front machines have the present build, a request crashes the back ends that begin to run it, and
+// comes again, at one of these. Then the operator moves the route to another service.
+func upgradeStopsChanges(l *lab, trouble bool) (bool, error) {
+	former, err := filepath.Abs("target/former/eelplat")
+	if err != nil {
+		return false, err
+	}
+	if _, err := os.Stat(former); err != nil {
+		return false, fmt.Errorf("%w: %v", errSetup, err)
+	}
+	if err := l.deploy(); err != nil {
+		return false, err
+	}
+	for _, m := range append(append([]*machine{}, l.cores...), l.fronts...) {
+		m.program = former
+	}
+	if err := l.addServers(100*time.Millisecond, oldService, newService); err != nil {
+		return false, err
+	}
+	const deadly = "/lookup/deadly"
+	for _, s := range l.servers {
+		s.bad = func(s *server, w http.ResponseWriter, r *http.Request) bool {
+			if r.URL.Path != deadly {
+				return false
+			}
+			s.l.ran(run{s.l.now(), r.Header.Get("Attempt-Id"), r.URL.Path, s.id, s.zone, s.service, ""})
+			go s.crash(3 * time.Second)
+			<-r.Context().Done()
+			return true
+		}
+	}
+	if err := l.startAll(version(1, oldService)); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	for _, m := range l.cores {
+		if err := m.upgrade(); err != nil {
+			return false, err
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+	upgraded, old := l.fronts[:2], l.fronts[2:]
+	for _, m := range upgraded {
+		if err := m.upgrade(); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	c := l.newClient(upgraded[0])
+	for range 4 {
+		if trouble {
+			c.send(http.MethodGet, deadly, 2*time.Second)
+		}
+		time.Sleep(time.Second)
+	}
+	time.Sleep(contact)
+	if err := l.put(version(2, newService)); err != nil {
+		return false, fmt.Errorf("%w: %v", errSetup, err)
+	}
+	time.Sleep(configApply + 500*time.Millisecond)
+	judged := l.now()
+	var g sync.WaitGroup
+	for _, m := range l.fronts {
+		g.Add(1)
+		go func() {
+			defer g.Done()
+			l.newClient(m).load(10, judged+3*time.Second, http.MethodGet, "/lookup/1", 3*time.Second)
+		}()
+	}
+	g.Wait()
+	n, all := 0, 0
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	for _, r := range book.runs {
+		if r.at >= judged {
+			all++
+			if r.service == oldService {
+				n++
+			}
+		}
+	}
+	l.logf("%d of %d requests that were sent later than %v after the confirmation of version 2 ran by version 1, by %d front machines of the former build", n, all, configApply, len(old))
+	return n > 0, nil
+}
--- a/review/7/platform/lab.go
+++ b/review/7/platform/lab.go
@@ -167,6 +167,8 @@
 	seeds      []string
 	behind     bool
 	firstStart bool
+	// program is the program of this machine, if it is not that of the lab.
+	program string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -215,7 +217,11 @@
 		return err
 	}
 	defer out.Close()
-	c := exec.Command(m.l.program, m.role)
+	program := m.l.program
+	if m.program != "" {
+		program = m.program
+	}
+	c := exec.Command(program, m.role)
 	c.Env = append(os.Environ(), "EELGRASSROAD_BOOT="+conf, "EEL_KEY=shared by the processes of one deployment", "EEL_METRICS=9464", "EEL_BIND_SOURCE=1")
 	if m.behind {
 		c.Env = append(c.Env, fmt.Sprintf("EEL_LISTEN_SHIFT=%d", shift))
@@ -232,7 +238,7 @@
 	m.mu.Lock()
 	m.cmd, m.done = c, done
 	m.mu.Unlock()
-	m.l.logf("start %s (%s), process %d", m.name, m.ip, c.Process.Pid)
+	m.l.logf("start %s (%s), process %d, %s", m.name, m.ip, c.Process.Pid, filepath.Base(filepath.Dir(program)))
 	return nil
 }
 
--- a/review/7/platform/main.go
+++ b/review/7/platform/main.go
@@ -21,6 +21,8 @@
 	"helper":  helperRegresses,
 	"restart": restartBehindCut,
 	"order":   staleOrder,
+	"reset":   acceptedAndReset,
+	"upgrade": upgradeStopsChanges,
 }
 
 func main() {
--- a/review/7/platform/server.go
+++ b/review/7/platform/server.go
@@ -23,9 +23,11 @@
 	lis  net.Listener
 	http *http.Server
 
-	mu       sync.Mutex
-	state    string
-	cut      string
+	mu    sync.Mutex
+	state string
+	cut   string
+	// resets is the address of the machine whose connections are accepted and reset.
+	resets   string
 	conns    map[net.Conn]bool
 	sequence int
 	running  int
@@ -41,9 +43,18 @@
 }
 
 func (l *lab) addServer(service, zone string, work time.Duration) (*server, error) {
-	n := len(l.servers) + 1
+	s, err := l.startServer(service, zone, fmt.Sprintf("%s:%d", l.ip(3, len(l.servers)+1), portServer), work)
+	if err != nil {
+		return nil, err
+	}
+	l.servers = append(l.servers, s)
+	return s, nil
+}
+
+// startServer starts a lifetime of a server.
+func (l *lab) startServer(service, zone, addr string, work time.Duration) (*server, error) {
 	s := &server{
-		l: l, id: fmt.Sprintf("i-%010x", rand.Uint64()>>24), service: service, zone: zone, addr: fmt.Sprintf("%s:%d", l.ip(3, n), portServer),
+		l: l, id: fmt.Sprintf("i-%010x", rand.Uint64()>>24), service: service, zone: zone, addr: addr,
 		born: time.Now().UnixMilli(), work: work, state: "ready", conns: map[net.Conn]bool{},
 	}
 	var err error
@@ -56,6 +67,11 @@
 		switch st {
 		case http.StateNew:
 			s.conns[c] = true
+			if s.resets != "" && remoteIP(c) == s.resets {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+				return
+			}
 			if s.cut != "" {
 				_ = dropFrom(c.(*net.TCPConn), s.cut)
 			}
@@ -65,10 +81,31 @@
 	}}
 	go func() { _ = s.http.Serve(s.lis) }()
 	go s.checkIn()
-	l.servers = append(l.servers, s)
 	return s, nil
 }
 
+// crash ends the server at once; it is back as another lifetime after a while.
+func (s *server) crash(back time.Duration) {
+	s.l.logf("server %s (%s, %s) crashes", s.id, s.service, s.zone)
+	s.close()
+	time.AfterFunc(back, func() {
+		x, err := s.l.startServer(s.service, s.zone, s.addr, s.work)
+		if err != nil {
+			s.l.logf("server at %s is not back: %v", s.addr, err)
+			return
+		}
+		x.bad = s.bad
+		s.l.logf("server %s (%s, %s) starts at %s", x.id, x.service, x.zone, x.addr)
+		s.l.mu.Lock()
+		defer s.l.mu.Unlock()
+		for i, y := range s.l.servers {
+			if y == s {
+				s.l.servers[i] = x
+			}
+		}
+	})
+}
+
 func (s *server) close() {
 	s.mu.Lock()
 	s.ended = true
@@ -118,6 +155,22 @@
 	return nil
 }
 
+// resetFront resets the connections of a front machine at all servers, also new ones as soon as they are
+// accepted; an empty address ends that.
+func (l *lab) resetFront(ip string) {
+	for _, s := range l.servers {
+		s.mu.Lock()
+		s.resets = ip
+		for c := range s.conns {
+			if ip != "" && remoteIP(c) == ip {
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
 // cutFront partitions a front machine from all servers; an empty address ends that.
 func (l *lab) cutFront(ip string) error {
 	for _, s := range l.servers {
