--- a/review/7/platform/cases.go
+++ b/review/7/platform/cases.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -227,7 +229,7 @@
 
 // maxRounds bounds the rounds of staleOrder, and freezeTime is how long the machine stands still in each.
 const (
-	maxRounds  = 6
+	maxRounds  = 10
 	freezeTime = 4 * time.Second
 )
 
@@ -248,7 +250,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	frozen, others := l.cores[4], l.cores[:4]
-	zones := l.zones[1:5]
+	zones := l.zones[1:]
 	evacuate := func(list []*machine, verb string) error {
 		var g sync.WaitGroup
 		failed := make([]error, len(zones))
@@ -407,3 +409,90 @@
 	l.logf("%d of %d requests that were sent later than %v after the confirmation of version 2 ran by version 1, by %d front machines of the former build", n, all, configApply, len(old))
 	return n > 0, nil
 }
+
+// leaderByLog returns the core machine whose log tells the highest term as leader, or nil.
+func (l *lab) leaderByLog() *machine {
+	var leader *machine
+	highest := -1
+	for _, m := range l.cores {
+		b, err := os.ReadFile(filepath.Join(l.dir, m.name+".log"))
+		if err != nil {
+			continue
+		}
+		for _, line := range strings.Split(string(b), "\n") {
+			var x struct {
+				Msg, Role string
+				Term      int
+			}
+			if json.Unmarshal([]byte(line), &x) == nil && x.Msg == "leader changed" && x.Role == "leader" && x.Term > highest {
+				leader, highest = m, x.Term
+			}
+		}
+	}
+	return leader
+}
+
+// replaceCore ends a core machine for good, and starts an empty one at another address in its zone.
+func (l *lab) replaceCore(m *machine) error {
+	l.logf("%s is gone for good", m.name)
+	m.kill()
+	l.setCores(slices.DeleteFunc(slices.Clone(l.cores), func(x *machine) bool { return x == m }))
+	time.Sleep(100 * time.Millisecond)
+	l.coresStarted++
+	x := &machine{l: l, name: fmt.Sprintf("core-%s-%d", m.zone, l.coresStarted), role: "state", ip: l.ip(1, l.coresStarted), zone: m.zone}
+	for _, y := range l.cores[:3] {
+		x.seeds = append(x.seeds, fmt.Sprintf("%s:%d", y.ip, portControl))
+	}
+	if err := x.run(); err != nil {
+		return err
+	}
+	l.setCores(append(slices.Clone(l.cores), x))
+	return nil
+}
+
+// replacedInSeries: core machines are replaced by empty ones, one after the other. The next one goes when the
+// successor of the last has run for catchUp, and contact beside.
+func replacedInSeries(l *lab, trouble bool) (bool, error) {
+	if err := l.deploy(); err != nil {
+		return false, err
+	}
+	if err := l.addServers(100*time.Millisecond, oldService, newService); err != nil {
+		return false, err
+	}
+	if err := l.startAll(version(1, oldService)); err != nil {
+		return false, err
+	}
+	time.Sleep(3 * time.Second)
+	if err := l.put(version(2, newService)); err != nil {
+		return false, fmt.Errorf("%w: %v", errSetup, err)
+	}
+	first := slices.Clone(l.cores)
+	for i := range 3 {
+		leader := l.leaderByLog()
+		// First a machine that does not lead, then the leader, then one of the others.
+		n := slices.IndexFunc(first, func(m *machine) bool { return (m == leader) == (i == 1) })
+		if n < 0 {
+			return false, fmt.Errorf("%w: no machine to replace", errSetup)
+		}
+		if trouble {
+			if err := l.replaceCore(first[n]); err != nil {
+				return false, err
+			}
+		}
+		first = slices.Delete(first, n, n+1)
+		time.Sleep(catchUp + contact)
+	}
+	l.logf("all successors have run for %v at least", catchUp+contact)
+	until := l.now() + 30*time.Second
+	for n := 0; l.now() < until; n++ {
+		m := l.cores[n%len(l.cores)]
+		status, b, err := l.order(m, http.MethodGet, "/api/Config.Get", nil)
+		l.logf("read back at %s: status %d, %d bytes, %v", m.name, status, len(b), err)
+		if err == nil && status == http.StatusOK && strings.Contains(string(b), `"r2"`) {
+			return false, nil
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	l.logf("version 2 was acknowledged and is not read back within 30 s")
+	return true, nil
+}
--- a/review/7/platform/lab.go
+++ b/review/7/platform/lab.go
@@ -57,6 +57,8 @@
 	fronts  []*machine
 	servers []*server
 	proxies []*proxy
+	// coresStarted is the number of core machines that were added so far.
+	coresStarted int
 	// hasProxies puts a proxy before each address of the core machines.
 	hasProxies bool
 
@@ -119,6 +121,19 @@
 
 func (l *lab) now() time.Duration { return time.Since(l.start) }
 
+// setCores replaces the list of core machines, which servers read while it changes.
+func (l *lab) setCores(list []*machine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cores = list
+}
+
+func (l *lab) coreList() []*machine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cores
+}
+
 // logf adds a line to the record.
 func (l *lab) logf(format string, args ...any) {
 	l.mu.Lock()
@@ -291,6 +306,7 @@
 		l.proxies = append(l.proxies, x)
 	}
 	l.cores = append(l.cores, m)
+	l.coresStarted = n
 	return m, nil
 }
 
--- a/review/7/platform/main.go
+++ b/review/7/platform/main.go
@@ -21,6 +21,7 @@
 	"helper":  helperRegresses,
 	"restart": restartBehindCut,
 	"order":   staleOrder,
+	"replace": replacedInSeries,
 	"reset":   acceptedAndReset,
 	"upgrade": upgradeStopsChanges,
 }
--- a/review/7/platform/server.go
+++ b/review/7/platform/server.go
@@ -125,8 +125,9 @@
 		body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":%q,"slots":8},"status":{"state":%q,"sequence":%d,"cold_remaining":"0ms"}}`,
 			s.addr, s.born, s.service, s.zone, s.state, s.sequence)
 		s.mu.Unlock()
-		for range len(s.l.cores) {
-			m := s.l.cores[i%len(s.l.cores)]
+		cores := s.l.coreList()
+		for range cores {
+			m := cores[i%len(cores)]
 			status, _, err := s.l.order(m, http.MethodPost, "/api/Instances.Heartbeat/"+s.id, []byte(body))
 			if err == nil && status/100 == 2 {
 				break
