Ask all known replicas to join at the same time

Callers saw: nothing by itself. A replica that takes the place of one that is gone was late: it asked its seeds one after the other and waited up to 2 s for each that did not answer, such as the VM that it replaces.

Evidence: TestJoinPastReplicasThatAreGone on: 4.04 s to its vote with two of three seeds that do not answer, the bound is one join timeout (2 s).

Why it works: the admission is idempotent and made by the leader only, so asking more replicas costs a few calls.

--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -31,6 +31,8 @@
 	// if it acknowledged a message within this time.
 	contactTimeout = 2 * time.Second
 	joinTimeout    = 2 * time.Second
+	// joinReplyWindow is how long further replies to a join request are awaited after the first.
+	joinReplyWindow = 500 * time.Millisecond
 	// changeTimeout bounds one call of Admit or balance.
 	changeTimeout = 3 * time.Second
 )
@@ -217,28 +219,59 @@
 	return !n.r.Formed() || n.r.SinceLeaderContact() > contactTimeout
 }
 
+// requestJoin asks all known replicas at the same time, since those that are gone may not answer at all,
+// and then the leaders that they name.
 func (n *Node) requestJoin(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
 	m := &eelpb.Member{Id: n.identity.ID, Incarnation: n.identity.Incarnation, Addr: n.o.Addr, Region: string(n.o.Region)}
+	replies := make(chan joinReply)
 	tried := map[string]bool{n.o.Addr: true}
-	addrs := append(n.o.Seeds(), n.Addrs()...)
-	for i := 0; i < len(addrs); i++ {
-		if tried[addrs[i]] {
-			continue
-		}
-		tried[addrs[i]] = true
-		c, cancel := context.WithTimeout(ctx, joinTimeout)
-		r, err := n.o.Transport.Join(c, addrs[i], m)
-		cancel()
-		if err != nil {
-			level.Debug(n.o.Log).Log("msg", "join failed", "by", addrs[i], "err", err)
-			continue
-		}
-		if r.Joined {
-			level.Info(n.o.Log).Log("msg", "joined group", "by", addrs[i])
+	pending := 0
+	ask := func(addr string) {
+		if addr == "" || tried[addr] {
 			return
 		}
-		if r.LeaderAddr != "" {
-			addrs = append(addrs, r.LeaderAddr)
+		tried[addr] = true
+		pending++
+		n.g.Go(func(context.Context) error {
+			r, err := n.o.Transport.Join(ctx, addr, m)
+			select {
+			case replies <- joinReply{addr, r, err}:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+	for _, a := range append(n.o.Seeds(), n.Addrs()...) {
+		ask(a)
+	}
+	window := time.NewTimer(joinTimeout)
+	defer window.Stop()
+	for ; pending > 0; pending-- {
+		select {
+		case r := <-replies:
+			window.Reset(joinReplyWindow)
+			if r.err != nil {
+				level.Debug(n.o.Log).Log("msg", "join failed", "by", r.addr, "err", r.err)
+				continue
+			}
+			if r.reply.Joined {
+				level.Info(n.o.Log).Log("msg", "joined group", "by", r.addr)
+				return
+			}
+			ask(r.reply.LeaderAddr)
+		case <-window.C:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
+
+// joinReply is the reply of the replica at an address to a join request.
+type joinReply struct {
+	addr  string
+	reply *eelpb.JoinReply
+	err   error
+}
--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -66,6 +66,8 @@
 	dirs  map[string]string
 	// regions holds the region of each replica by address.
 	regions map[string]model.RegionID
+	// hanging holds the addresses at which join requests are not answered, as on a VM without power.
+	hanging map[string]bool
 }
 
 func (c *testCluster) lookup(addr string) (*Node, error) {
@@ -96,6 +98,10 @@
 }
 
 func (c *testCluster) Join(ctx context.Context, addr string, m *eelpb.Member) (*eelpb.JoinReply, error) {
+	if c.hanging[addr] {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	n, err := c.lookup(addr)
 	if err != nil {
 		return nil, err
@@ -224,6 +230,28 @@
 	}
 }
 
+// Of the addresses that a new replica is told, those of replicas that are gone do not answer. It must not
+// wait for them one after the other: it has its place only once it has joined.
+func TestJoinPastReplicasThatAreGone(t *testing.T) {
+	c := &testCluster{t: t, nodes: map[string]*Node{}, seeds: []string{"1", "2", "3"}, dirs: map[string]string{}}
+	for i := 1; i <= 4; i++ {
+		c.dirs[fmt.Sprint(i)] = t.TempDir()
+	}
+	for i := 1; i <= 3; i++ {
+		c.start(i, true)
+	}
+	c.waitForVoters(3)
+	c.seeds, c.hanging = []string{"8", "9", "3"}, map[string]bool{"8": true, "9": true}
+	from := time.Now()
+	c.start(4, false)
+	c.waitForVoters(4)
+	d := time.Since(from)
+	assert.Assert(t, d < joinTimeout, "the replica became a voter after %v", d)
+	for i := 1; i <= 4; i++ {
+		c.stop(i)
+	}
+}
+
 // votersByRegion counts the voters in the leader's membership by region.
 func (c *testCluster) votersByRegion() map[model.RegionID]int {
 	c.mu.Lock()
