Replace silent voters within catch_up, whoever leads meanwhile

Cause: a voter gave way to a learner only after 8 s of silence, longer than catch_up (4 s), and each new leader counted anew from its election. The successors, which held the whole log, were still learners when the next voter went.

Excluded: an election that is lost by chance (two of five voters are left), a successor that cannot join or learn.

Change: a voter is replaced after half of bounds.catch_up; leaders tell the silence of members with their append messages, so that the next leader goes on counting; the two changes follow each other at once; a voter is removed only for a learner that has answered within an election timeout and has caught up, and only such a one is promoted. The status tells voters, responsive voters and the losses that are still borne; a warning says when these fall.

Why it works: whoever leads, the time of silence goes on, so the removal comes within half of catch_up or an election timeout after the election, whichever is later; the state machine and the log's records are unchanged, and earlier builds ignore the field of the message.

--- a/cmd/eelplat/state.go
+++ b/cmd/eelplat/state.go
@@ -37,7 +37,8 @@
 	peers := server.NewPeers(d.key, d.dial)
 	n, err := node.New(node.Options{
 		ID: id, Dir: s.DataDir, Addr: s.Internal, Peers: initial, Transport: peers, Log: d.l, Region: s.Region(),
-		Seeds: func() []string { return slices.Clone(d.current().Seeds) },
+		CatchUp: s.CatchUp,
+		Seeds:   func() []string { return slices.Clone(d.current().Seeds) },
 	})
 	if err != nil {
 		return err
--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -70,6 +70,11 @@
 	Commits     int64          `json:"commits"`
 	Syncs       int64          `json:"syncs"`
 	Members     []MemberStatus `json:"members"`
+	// Voters, Responsive and MaxLosses are told by the leader only: the number of voters, how many of
+	// them answer, and how many of these may be lost until the group can commit no change.
+	Voters     int `json:"voters,omitempty"`
+	Responsive int `json:"responsive,omitempty"`
+	MaxLosses  int `json:"maxLosses"`
 }
 
 // MemberStatus is the state of a member as known to the reporting replica.
@@ -80,6 +85,8 @@
 	Voter       bool           `json:"voter"`
 	Region      model.RegionID `json:"region,omitempty"`
 	Match       raft.Index     `json:"match"`
+	// SilentMillis is the time since the member's last acknowledgement, at the leader.
+	SilentMillis int64 `json:"silentMillis,omitempty"`
 }
 
 // Status returns the replica's view of the group.
@@ -95,14 +102,66 @@
 		id := raft.ReplicaID(m.Id)
 		s.Members = append(s.Members, MemberStatus{
 			ID: id, Incarnation: m.Incarnation, Addr: m.Addr, Voter: m.Voter, Region: model.RegionID(m.Region), Match: n.r.Match(id),
+			SilentMillis: n.silence(id).Milliseconds(),
 		})
 		if id == s.Leader {
 			s.LeaderAddr = m.Addr
 		}
 	}
+	if n.r.Role() == raft.Leader {
+		q := n.quorum()
+		s.Voters, s.Responsive, s.MaxLosses = q.voters, q.responsive, q.maxLosses()
+	}
 	return s
 }
 
+// silence returns the time since a member's last acknowledgement, or 0 unless this replica leads; the
+// caller holds mu.
+func (n *Node) silence(id raft.ReplicaID) time.Duration {
+	if n.r.Role() != raft.Leader {
+		return 0
+	}
+	return n.r.SinceLastAck(id)
+}
+
+// quorum counts the voters of the group and those that answer the leader.
+type quorum struct{ voters, responsive int }
+
+// maxLosses returns how many of the responsive voters may be lost until no change can be committed.
+func (q quorum) maxLosses() int { return max(0, q.responsive-q.voters/2-1) }
+
+// quorum returns the state of the quorum at the leader; the caller holds mu.
+func (n *Node) quorum() quorum {
+	var q quorum
+	for _, m := range n.r.Members().GetMembers() {
+		if !m.Voter {
+			continue
+		}
+		q.voters++
+		if n.r.SinceLastAck(raft.ReplicaID(m.Id)) < contactTimeout {
+			q.responsive++
+		}
+	}
+	return q
+}
+
+// logQuorum logs changes of the quorum at the leader, as a warning while it bears fewer losses than
+// one of MaxVoters voters that all answer.
+func (n *Node) logQuorum() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := n.quorum()
+	if q == n.loggedQuorum {
+		return
+	}
+	n.loggedQuorum = q
+	l := level.Info(n.o.Log)
+	if q.maxLosses() < (n.o.MaxVoters-1)/2 {
+		l = level.Warn(n.o.Log)
+	}
+	l.Log("msg", "quorum changed", "voters", q.voters, "responsive", q.responsive, "maxLosses", q.maxLosses())
+}
+
 // call runs a function in the event loop and returns its error.
 func (n *Node) call(ctx context.Context, f func() error) error {
 	done := make(chan error, 1)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -17,10 +17,13 @@
 	// balanceInterval is the interval at which the leader checks for a membership change,
 	// such as the promotion of a learner that has caught up.
 	balanceInterval = 200 * time.Millisecond
-	// voterRemovalTimeout is the time since its last acknowledgement after which a voter
-	// is replaced by a learner. It exceeds the partitions from which replicas usually
-	// recover.
-	voterRemovalTimeout = 8 * time.Second
+	// DefaultCatchUp is the default of Options.CatchUp.
+	DefaultCatchUp = 16 * time.Second
+	// removalFraction is the part of Options.CatchUp after which a silent voter may be replaced. The
+	// rest is for an election and two changes of the membership.
+	removalFraction = 0.5
+	// minRemovalTimeout covers an election in which the votes were split.
+	minRemovalTimeout = 2 * raft.DefaultElectionTimeout
 	// learnerRemovalTimeout is the time since its last acknowledgement after which a
 	// learner is removed.
 	learnerRemovalTimeout = 30 * time.Second
@@ -88,30 +91,36 @@
 }
 
 // balance maintains MaxVoters voters while this replica leads: it promotes learners,
-// and replaces voters that are unresponsive or whose region has too many.
+// and replaces voters that are unresponsive or whose region has too many. One change follows the
+// other at once, so that the group is short of a voter only for a moment.
 func (n *Node) balance(ctx context.Context) {
 	if !n.IsLeader() || !n.membershipMu.TryLock() {
 		return
 	}
 	defer n.membershipMu.Unlock()
+	n.logQuorum()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	p := n.nextChange()
-	var err error
-	switch {
-	case p.remove != 0:
+	for p := n.nextChange(); p != (membershipPlan{}); p = n.nextChange() {
+		if err := n.carryOut(ctx, p); err != nil {
+			level.Info(n.o.Log).Log("msg", "membership change failed", "remove", uint64(p.remove), "promote", uint64(p.promote), "err", err)
+			return
+		}
+	}
+}
+
+// carryOut commits a membership change.
+func (n *Node) carryOut(ctx context.Context, p membershipPlan) error {
+	if p.remove != 0 {
 		level.Info(n.o.Log).Log("msg", "removing unresponsive or surplus replica", "replica", uint64(p.remove),
 			"silentMillis", n.sinceLastAck(p.remove).Milliseconds())
-		err = n.Remove(ctx, p.remove)
-	case p.promote != 0:
-		err = n.changeMembership(ctx, func() (raft.Index, error) { return n.r.Promote(p.promote) })
-		if err == nil {
-			level.Info(n.o.Log).Log("msg", "learner promoted to voter", "replica", uint64(p.promote))
-		}
+		return n.Remove(ctx, p.remove)
 	}
-	if err != nil {
-		level.Debug(n.o.Log).Log("msg", "membership change failed", "err", err)
+	if err := n.changeMembership(ctx, func() (raft.Index, error) { return n.r.Promote(p.promote) }); err != nil {
+		return err
 	}
+	level.Info(n.o.Log).Log("msg", "learner promoted to voter", "replica", uint64(p.promote))
+	return nil
 }
 
 func (n *Node) sinceLastAck(id raft.ReplicaID) time.Duration {
@@ -120,51 +129,72 @@
 	return n.r.SinceLastAck(id)
 }
 
+// removalTimeout is the time since its last acknowledgement after which a voter is replaced by
+// a learner.
+func (o Options) removalTimeout() time.Duration {
+	return max(time.Duration(float64(o.CatchUp)*removalFraction), minRemovalTimeout)
+}
+
 // membershipPlan is the next membership change; 0 means none.
 type membershipPlan struct {
 	remove  raft.ReplicaID
 	promote raft.ReplicaID
 }
 
+// contact is what the leader knows of a member.
+type contact struct {
+	// silent is the time since its last acknowledgement.
+	silent time.Duration
+	// caughtUp is set if it answers and holds nearly all committed entries.
+	caughtUp bool
+}
+
 func (n *Node) nextChange() membershipPlan {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return planMembership(n.r.Members(), n.o.MaxVoters, n.o.ID, func(id raft.ReplicaID) time.Duration { return n.r.SinceLastAck(id) })
+	return planMembership(n.r.Members(), n.o.MaxVoters, n.o.ID, n.o.removalTimeout(), n.contactOf)
+}
+
+// contactOf returns the contact with a member; the caller holds mu.
+func (n *Node) contactOf(id raft.ReplicaID) contact {
+	return contact{silent: n.r.SinceLastAck(id), caughtUp: n.r.CaughtUp(id)}
 }
 
-// planMembership returns the leader's next membership change, given the time since each
-// member's last acknowledgement.
-func planMembership(s *eelpb.Membership, maxVoters int, leader raft.ReplicaID, sinceLastAck func(raft.ReplicaID) time.Duration) membershipPlan {
-	var voters, responsiveLearners []*eelpb.Member
-	var unresponsive []raft.ReplicaID
+// planMembership returns the leader's next membership change, given its contact with each member.
+// A voter is removed only if a learner can be promoted in its place at once.
+func planMembership(
+	s *eelpb.Membership, maxVoters int, leader raft.ReplicaID, removalTimeout time.Duration, contactOf func(raft.ReplicaID) contact,
+) membershipPlan {
+	var voters, ready []*eelpb.Member
+	unresponsive, longest := raft.ReplicaID(0), removalTimeout
 	allResponsive := true
 	for _, m := range s.GetMembers() {
 		id := raft.ReplicaID(m.Id)
-		switch t := sinceLastAck(id); {
+		switch c := contactOf(id); {
 		case m.Voter:
 			voters = append(voters, m)
-			allResponsive = allResponsive && t < contactTimeout
-			if t > voterRemovalTimeout {
-				unresponsive = append(unresponsive, id)
+			allResponsive = allResponsive && c.silent < contactTimeout
+			if c.silent > longest {
+				unresponsive, longest = id, c.silent
 			}
-		case t > learnerRemovalTimeout:
+		case c.silent > learnerRemovalTimeout:
 			return membershipPlan{remove: id}
-		case t < contactTimeout:
-			responsiveLearners = append(responsiveLearners, m)
+		case c.caughtUp:
+			ready = append(ready, m)
 		}
 	}
-	if len(responsiveLearners) == 0 {
+	if len(ready) == 0 {
 		return membershipPlan{}
 	}
 	counts := countByRegion(voters)
-	next := slices.MinFunc(responsiveLearners, func(a, b *eelpb.Member) int {
+	next := slices.MinFunc(ready, func(a, b *eelpb.Member) int {
 		return cmp.Or(cmp.Compare(counts[a.Region], counts[b.Region]), cmp.Compare(a.Id, b.Id))
 	})
 	switch {
 	case len(voters) < maxVoters:
 		return membershipPlan{promote: raft.ReplicaID(next.Id)}
-	case len(unresponsive) > 0:
-		return membershipPlan{remove: unresponsive[0]}
+	case unresponsive != 0:
+		return membershipPlan{remove: unresponsive}
 	case allResponsive:
 		return membershipPlan{remove: surplusVoter(voters, leader, next.Region)}
 	}
--- a/internal/node/membership_test.go
+++ b/internal/node/membership_test.go
@@ -33,6 +33,8 @@
 		{"unresponsive learner is not promoted", []member{{1, true, up, ""}, {2, true, up, ""}, {4, false, brief, ""}}, membershipPlan{}},
 		{"learner is not promoted at the voter limit", []member{{1, true, up, ""}, {2, true, up, ""}, {3, true, up, ""}, {4, false, up, ""}}, membershipPlan{}},
 		{"voter in a short partition is kept", []member{{1, true, up, ""}, {2, true, up, ""}, {3, true, brief, ""}, {4, false, up, ""}}, membershipPlan{}},
+		{"voter that was silent longest is replaced first", []member{{1, true, up, ""}, {2, true, long, ""}, {3, true, 2 * long, ""}, {4, false, up, ""}}, membershipPlan{remove: 3}},
+		{"voter is kept until a learner has caught up", []member{{1, true, up, ""}, {2, true, up, ""}, {3, true, long, ""}, {4, false, brief, ""}}, membershipPlan{}},
 		{"unresponsive voter is replaced", []member{{1, true, up, ""}, {2, true, up, ""}, {3, true, long, ""}, {4, false, up, ""}}, membershipPlan{remove: 3}},
 		{"unresponsive learner is removed", []member{{1, true, up, ""}, {2, true, up, ""}, {3, true, up, ""}, {4, false, long, ""}}, membershipPlan{remove: 4}},
 		{"learner of the region with the fewest voters is promoted", []member{{1, true, up, "a"}, {2, true, up, "b"}, {4, false, up, "a"}, {5, false, up, "c"}}, membershipPlan{promote: 5}},
@@ -50,7 +52,9 @@
 				s.Members = append(s.Members, &eelpb.Member{Id: m.id, Voter: m.voter, Region: m.region})
 				silent[raft.ReplicaID(m.id)] = m.silent
 			}
-			got := planMembership(s, 3, 1, func(id raft.ReplicaID) time.Duration { return silent[id] })
+			got := planMembership(s, 3, 1, 8*time.Second, func(id raft.ReplicaID) contact {
+				return contact{silent: silent[id], caughtUp: silent[id] == 0}
+			})
 			assert.Equal(t, got, tt.want)
 		})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,9 @@
 	Region model.RegionID
 	// MaxVoters is the number of voters that the leader maintains if Seeds is set.
 	MaxVoters int
+	// CatchUp is the time from the start of a replica within which it has to take the place of a
+	// voter that is gone for good, also if the leader changes meanwhile.
+	CatchUp time.Duration
 }
 
 type proposal struct {
@@ -132,6 +135,8 @@
 	// loggedLeader and loggedTerm are the leader and term logged last.
 	loggedLeader raft.ReplicaID
 	loggedTerm   raft.Term
+	// loggedQuorum is the state of the quorum logged last.
+	loggedQuorum quorum
 
 	inbox     chan *eelpb.Message
 	proposals chan proposal
@@ -153,6 +158,9 @@
 	if o.MaxVoters == 0 {
 		o.MaxVoters = DefaultMaxVoters
 	}
+	if o.CatchUp == 0 {
+		o.CatchUp = DefaultCatchUp
+	}
 	return start(o, environment{fs: store.OS(), clock: clock.Stopwatch(), random: rand.Uint64})
 }
 
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -51,6 +51,8 @@
 	rate   float64
 	offset time.Duration
 	frozen bool
+	// gone is set once the host and its disk are lost for good.
+	gone bool
 	// stalledUntil is the end of the current disk stall.
 	stalledUntil time.Duration
 	// version is the highest catalogue version that the replica has shown since its start.
@@ -110,7 +112,7 @@
 
 // boot starts a host's node from the contents of its disk.
 func (s *sim) boot(h *host) {
-	n, err := open(Options{ID: h.id, Dir: "/d", Addr: fmt.Sprint(h.id), Log: log.NewNopLogger(), SnapshotBytes: 4096}, environment{
+	n, err := open(Options{ID: h.id, Dir: "/d", Addr: fmt.Sprint(h.id), Log: log.NewNopLogger(), SnapshotBytes: 4096, MaxVoters: DefaultMaxVoters, CatchUp: testCatchUp}, environment{
 		fs: h.fs, random: s.rnd.Uint64,
 		clock: func() time.Duration { return time.Duration(float64(s.now)*h.rate) + h.offset },
 	})
@@ -344,7 +346,7 @@
 	for _, h := range s.hosts {
 		h.frozen = false
 		h.stalledUntil = 0
-		if h.n == nil {
+		if h.n == nil && !h.gone {
 			s.boot(h)
 		}
 	}
@@ -361,7 +363,7 @@
 	s.propose()
 	s.run(3 * time.Second)
 	for _, h := range s.hosts {
-		if !h.n.r.Formed() {
+		if h.gone || !h.n.r.Formed() {
 			continue
 		}
 		s.checkState(h.n)
--- a/internal/opctl/report.go
+++ b/internal/opctl/report.go
@@ -145,13 +145,16 @@
 
 func (d *deployment) text(w io.Writer) {
 	fmt.Fprintf(w, "catalogue version %d, %d claims\n\n", d.Version, d.Claims)
-	fmt.Fprintln(w, "REPLICA\tADDRESS\tREGION\tVOTER\tMATCH")
+	if r := d.Replica; r.Voters > 0 {
+		fmt.Fprintf(w, "%d of %d voters answer; %d of them may be lost before no change can be committed\n\n", r.Responsive, r.Voters, r.MaxLosses)
+	}
+	fmt.Fprintln(w, "REPLICA\tADDRESS\tREGION\tVOTER\tMATCH\tSILENT MS")
 	for _, m := range d.Replica.Members {
 		role := ""
 		if m.ID == d.Replica.Leader {
 			role = " (leader)"
 		}
-		fmt.Fprintf(w, "%d%s\t%s\t%s\t%t\t%d\n", m.ID, role, m.Addr, m.Region, m.Voter, m.Match)
+		fmt.Fprintf(w, "%d%s\t%s\t%s\t%t\t%d\t%d\n", m.ID, role, m.Addr, m.Region, m.Voter, m.Match, m.SilentMillis)
 	}
 	fmt.Fprintln(w, "\nREGION\tTARGETS\tREADY\tSLOTS\tDRAINED")
 	for _, r := range d.Regions {
--- a/internal/raft/elect.go
+++ b/internal/raft/elect.go
@@ -123,6 +123,7 @@
 	r.electedAt = r.now
 	r.progress = map[ReplicaID]*progress{}
 	r.syncProgress()
+	r.inheritSilences()
 	r.appendEntry(eelpb.EntryKind_ENTRY_NOOP, nil)
 	r.heartbeatAt = r.now + r.c.HeartbeatInterval
 	r.broadcast(true)
@@ -133,7 +134,7 @@
 	for _, m := range r.members.Members {
 		id := ReplicaID(m.Id)
 		if _, ok := r.progress[id]; !ok {
-			r.progress[id] = &progress{next: r.log.last() + 1, ackedSentAt: r.now}
+			r.progress[id] = &progress{next: r.log.last() + 1, ackedSentAt: r.now, heardAt: r.now}
 		}
 	}
 	for id := range r.progress {
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -22,7 +22,8 @@
 	return r.proposeMembership(next), nil
 }
 
-// Promote makes a learner a voter once it has caught up with the log.
+// Promote makes a learner a voter once it has caught up with the log. A learner that does not
+// answer stays one: it may have ended right after it was added.
 func (r *Raft) Promote(id ReplicaID) (Index, error) {
 	const op = "raft.Promote"
 	if err := r.checkMembershipChange(op); err != nil {
@@ -33,8 +34,8 @@
 	if m == nil {
 		return 0, errs.Newf(op, KindUnknown, "replica %d is not a member", id)
 	}
-	if r.progress[id].match+maxCatchUpLag < r.log.commit {
-		return 0, errs.Newf(op, KindUnsafe, "replica %d is at index %d of %d and has not caught up", id, r.progress[id].match, r.log.commit)
+	if !r.CaughtUp(id) {
+		return 0, errs.Newf(op, KindUnsafe, "replica %d, last heard %v ago at index %d of %d, has not caught up", id, r.SinceLastAck(id), r.progress[id].match, r.log.commit)
 	}
 	m.Voter = true
 	return r.proposeMembership(next), nil
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -122,6 +122,9 @@
 	// ackedSentAt is when the latest acknowledged message was sent, or at first when the
 	// leader began to track the follower.
 	ackedSentAt time.Duration
+	// heardAt is when the latest message that this leader or an earlier one knows to be
+	// acknowledged was sent.
+	heardAt time.Duration
 	// probing is set once entries have been resent after a rejection, at probedAt; no
 	// other entries are sent until they are answered or an election timeout passes.
 	probing  bool
@@ -146,8 +149,13 @@
 	progress map[ReplicaID]*progress
 	votes    map[ReplicaID]bool
 
-	now              time.Duration
-	leaderContactAt  time.Duration
+	now             time.Duration
+	leaderContactAt time.Duration
+	// contactLeader is the leader that was in contact at leaderContactAt, or 0.
+	contactLeader ReplicaID
+	// silences are the members that a leader had not heard for a while at silencesAt.
+	silences         []*eelpb.Silence
+	silencesAt       time.Duration
 	electionDeadline time.Duration
 	heartbeatAt      time.Duration
 	electedAt        time.Duration
@@ -229,16 +237,6 @@
 	return p.match
 }
 
-// SinceLastAck returns the time since this leader sent the latest message that a member
-// has answered.
-func (r *Raft) SinceLastAck(id ReplicaID) time.Duration {
-	p, ok := r.progress[id]
-	if !ok || id == r.c.ID {
-		return 0
-	}
-	return r.now - p.ackedSentAt
-}
-
 // SinceLeaderContact returns the time since this replica last received a message from a
 // leader, or 0 if it is the leader.
 func (r *Raft) SinceLeaderContact() time.Duration {
--- a/internal/raft/step.go
+++ b/internal/raft/step.go
@@ -177,11 +177,12 @@
 // followLeader makes the replica a follower of the sender and records the contact.
 func (r *Raft) followLeader(m *eelpb.Message) {
 	r.becomeFollower(Term(m.Term), ReplicaID(m.From))
-	r.leaderContactAt = r.now
+	r.leaderContactAt, r.contactLeader = r.now, ReplicaID(m.From)
 }
 
 func (r *Raft) stepAppend(m *eelpb.Message) {
 	r.followLeader(m)
+	r.recordSilences(m)
 	prev := Index(m.LogIndex)
 	resp := &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_APPEND_REPLY, SentAt: m.SentAt, LogIndex: m.LogIndex}
 	if prev < r.log.base {
@@ -269,6 +270,7 @@
 	}
 	p.replied = true
 	p.ackedSentAt = max(p.ackedSentAt, time.Duration(m.SentAt))
+	p.heardAt = max(p.heardAt, p.ackedSentAt)
 	if m.Reject {
 		r.stepReject(from, p, m)
 		return
@@ -376,7 +378,7 @@
 	prev := p.next - 1
 	r.send(id, &eelpb.Message{
 		Kind: eelpb.MessageKind_MESSAGE_APPEND, LogIndex: uint64(prev), LogTerm: uint64(r.log.term(prev)),
-		Entries: e, Commit: uint64(r.log.commit), SentAt: int64(r.now),
+		Entries: e, Commit: uint64(r.log.commit), SentAt: int64(r.now), Silences: r.listSilences(),
 	})
 	p.next += Index(len(e))
 }
@@ -384,7 +386,7 @@
 // sendHeartbeat sends an append message without entries. It refers to the last entry that
 // the follower is known to hold, or to none if that entry is compacted.
 func (r *Raft) sendHeartbeat(id ReplicaID, p *progress) {
-	m := &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_APPEND, SentAt: int64(r.now)}
+	m := &eelpb.Message{Kind: eelpb.MessageKind_MESSAGE_APPEND, SentAt: int64(r.now), Silences: r.listSilences()}
 	if p.match >= r.log.base {
 		m.LogIndex, m.LogTerm, m.Commit = uint64(p.match), uint64(r.log.term(p.match)), uint64(r.log.commit)
 	}
