Refuse an order to drain, or to end a drain, that its sender no longer waits for

Cause: drains have no revision, the last write wins, and a replica carried an order out, for up to 4 s, without asking whether its sender still waited; senders leave after 1 s, and may have had the opposite confirmed elsewhere.

Excluded: the order of the log (the old order was committed last), the entries (the catalogue had no drain).

Change: what a process reads within a second after a freeze counts as as old as the freeze (internal/pulse); an order goes on only if its sender waits when the leader has given out the fence of the domain; the leader compares the fence right before it appends the command to its log, and refuses an order that another one came before. Orders that are overtaken while the sender waits are made again.

Why it works: a sender that has had a later order confirmed had stopped waiting for the earlier one before it sent the later, so the fence of the earlier was given out before the later one was appended. The log and the state machine are unchanged; leaders of earlier builds give no fence, and their replicas send none, so a mixed group is as before.

--- a/internal/node/lead.go
+++ b/internal/node/lead.go
@@ -16,13 +16,20 @@
 // Propose commits a command and returns the result of applying it. An error of kind
 // KindOutcomeUnknown means that the command may still be committed.
 func (n *Node) Propose(ctx context.Context, c *eelpb.Command) (state.Result, error) {
+	return n.ProposeIf(ctx, c, nil)
+}
+
+// ProposeIf is Propose with a check that is made at the leader, with its term, right before the
+// command is appended to the log: in the order of the log, and under the lock of the replica. If the
+// check fails, its error is returned and the command is not committed.
+func (n *Node) ProposeIf(ctx context.Context, c *eelpb.Command, check func(raft.Term) error) (state.Result, error) {
 	const op = "node.Propose"
 	c.NowMs = time.Now().UnixMilli()
 	b, err := proto.Marshal(c)
 	if err != nil {
 		return state.Result{}, errs.New(op, KindStopped, err)
 	}
-	p := proposal{data: b, done: make(chan outcome, 1)}
+	p := proposal{data: b, check: check, done: make(chan outcome, 1)}
 	select {
 	case n.proposals <- p:
 	case <-ctx.Done():
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -22,6 +22,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
+			n.pulse.Beat()
 			n.withLock(func() { n.r.Tick(n.Now()) })
 		case m := <-n.inbox:
 			n.withLock(func() { n.stepAll(m) })
@@ -129,6 +130,7 @@
 	for len(batch) < maxBatch && len(n.proposals) > 0 {
 		batch = append(batch, <-n.proposals)
 	}
+	batch = n.checkAll(batch)
 	data := make([][]byte, 0, len(batch))
 	for _, b := range batch {
 		data = append(data, b.data)
@@ -145,6 +147,25 @@
 	}
 }
 
+// checkAll returns the proposals whose check passes, and fails the others. Without leadership all fail
+// later.
+func (n *Node) checkAll(batch []proposal) []proposal {
+	if n.r.Role() != raft.Leader {
+		return batch
+	}
+	var out []proposal
+	for _, b := range batch {
+		if b.check != nil {
+			if err := b.check(n.r.Term()); err != nil {
+				b.done <- outcome{err: err}
+				continue
+			}
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
 // processReady handles the output of the core until there is none left. While a write
 // is in progress it sends and applies only what does not depend on that write.
 func (n *Node) processReady() error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/group"
+	"github.com/eelgrassroad/eelgrassroad/internal/pulse"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/eelgrassroad/eelgrassroad/internal/store"
@@ -96,7 +97,9 @@
 
 type proposal struct {
 	data []byte
-	done chan outcome
+	// check is called right before the command is appended to the log, or nil.
+	check func(raft.Term) error
+	done  chan outcome
 }
 
 type outcome struct {
@@ -132,6 +135,7 @@
 	// writeStartedAt is the start time of the last write.
 	writeStartedAt time.Duration
 	senderAddrs    map[raft.ReplicaID]string
+	pulse          *pulse.Pulse
 	// loggedLeader and loggedTerm are the leader and term logged last.
 	loggedLeader raft.ReplicaID
 	loggedTerm   raft.Term
@@ -206,6 +210,7 @@
 		proposals: make(chan proposal, maxBatch), calls: make(chan func()),
 		snapshot: d.Snapshot, hardState: d.Hard,
 	}
+	n.pulse = pulse.New(w.clock)
 	if d.TruncatedBytes > 0 {
 		level.Warn(o.Log).Log("msg", "truncated torn tail of the log", "bytes", d.TruncatedBytes)
 	}
@@ -240,6 +245,10 @@
 	return n.w.clock()
 }
 
+// EarliestArrival returns the time before which what the process reads now cannot have arrived, as the process
+// may have been frozen.
+func (n *Node) EarliestArrival() time.Duration { return n.pulse.EarliestArrival() }
+
 // Machine returns the state machine.
 func (n *Node) Machine() *state.Machine { return n.machine }
 
--- a/internal/server/admin.go
+++ b/internal/server/admin.go
@@ -114,8 +114,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	r, err := s.o.Node.Propose(ctx, &eelpb.Command{Change: p})
-	return r.Change, err
+	return s.propose(ctx, &eelpb.Command{Change: p})
 }
 
 // author returns the owner whose token the request carries.
--- a/internal/server/invalid_test.go
+++ b/internal/server/invalid_test.go
@@ -53,8 +53,8 @@
 		}{
 			{"announce", func() error { return s.Announce(ctx, x, 1) }},
 			{"withdraw", func() error { return s.Withdraw(ctx, x.ID, 1) }},
-			{"drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), true) }},
-			{"end of a drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), false) }},
+			{"drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), true, testPatience) }},
+			{"end of a drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), false, testPatience) }},
 		}
 		for _, c := range calls {
 			err := c.f()
@@ -62,7 +62,7 @@
 		}
 		checkServes(t, s, model.Revision(i+1))
 	}
-	err := s.SetDrain(ctx, "a-9", true)
+	err := s.SetDrain(ctx, "a-9", true, testPatience)
 	assert.Check(t, errs.Is(err, model.KindInvalid), "drain of a failure domain that does not exist: %v", err)
 	checkServes(t, s, 100)
 }
@@ -98,15 +98,15 @@
 	}
 	assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
 	assert.NilError(t, s.Withdraw(ctx, "u", 0))
-	assert.NilError(t, s.SetDrain(ctx, "a-1", true))
+	assert.NilError(t, s.SetDrain(ctx, "a-1", true, testPatience))
 	checkServes(t, s, 2)
 	x, _ := s.catalogue.Targets.Get("t")
 	assert.Equal(t, x.State, model.TargetReady)
 	x, _ = s.catalogue.Targets.Get("u")
 	assert.Equal(t, x.State, model.TargetGone)
 	assert.Assert(t, s.catalogue.Drained("a-1", ""))
-	assert.NilError(t, s.SetDrain(ctx, "a-9", false))
-	assert.NilError(t, s.SetDrain(ctx, "a:9", false))
+	assert.NilError(t, s.SetDrain(ctx, "a-9", false, testPatience))
+	assert.NilError(t, s.SetDrain(ctx, "a:9", false, testPatience))
 	checkServes(t, s, 3)
 	assert.Assert(t, !s.catalogue.HasInvalid(model.ObjectDrain))
 }
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -488,7 +488,7 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	for _, on := range []bool{true, true, false, false, true} {
-		assert.NilError(t, s.SetDrain(ctx, "a-1", on))
+		assert.NilError(t, s.SetDrain(ctx, "a-1", on, testPatience))
 		o, v := s.o.Node.Machine().Objects()
 		c, err := model.NewCatalogue(v, o)
 		assert.NilError(t, err)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -52,6 +52,10 @@
 	KindChangeIDReused Kind = "changeIdReused"
 	KindNotLeader      Kind = "notLeader"
 	KindOutcomeUnknown Kind = "outcomeUnknown"
+	// KindExpired: an order has had no effect and never will, since its sender may have left before.
+	KindExpired Kind = "expired"
+	// KindOvertaken: an order has had no effect, since another one came before it.
+	KindOvertaken Kind = "overtaken"
 )
 
 // Error is the error of this package.
@@ -107,6 +111,7 @@
 	// newEvidence receives a value when there is new evidence.
 	newEvidence chan struct{}
 	batches     batcher
+	fences      fences
 	g           *group.Group
 }
 
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -40,12 +40,7 @@
 	if isLowest(q) {
 		return t.s.create(ctx, q)
 	}
-	q.AnyBase = true
-	r, err := t.s.o.Node.Propose(ctx, &eelpb.Command{Change: q})
-	if err != nil {
-		return nil, twirp.NewError(twirp.Unavailable, err.Error())
-	}
-	return r.Change, nil
+	return t.s.submitChange(ctx, q)
 }
 
 // isLowest reports whether a change starts with the lowest revision of a routing or target. Such
@@ -82,18 +77,25 @@
 
 // Read returns the current state of an object.
 func (t stateService) Read(_ context.Context, q *eelpb.ReadRequest) (*eelpb.ReadReply, error) {
-	if !t.s.o.Node.IsLeader() {
+	term, _, ok := t.s.o.Node.Leadership()
+	if !ok {
 		return nil, t.s.notLeader()
 	}
+	r := &eelpb.ReadReply{}
+	if isFenced(model.ObjectKind(q.Kind)) {
+		r.Fence = t.s.fences.of(q, term)
+	}
 	o := t.s.o.Node.Machine().Object(model.ObjectKind(q.Kind), q.Name)
 	// Another leader may have been elected while this process was suspended.
-	if !t.s.o.Node.IsLeader() {
+	if now, _, ok := t.s.o.Node.Leadership(); !ok || now != term {
 		return nil, t.s.notLeader()
 	}
 	if o != nil && o.Version == q.Version {
-		return &eelpb.ReadReply{Same: true}, nil
+		r.Same = true
+		return r, nil
 	}
-	return &eelpb.ReadReply{Object: o}, nil
+	r.Object = o
+	return r, nil
 }
 
 // Join admits a replica to the group.
@@ -219,8 +221,11 @@
 	return r.GetObject().GetSpec(), err
 }
 
-// SetDrain takes a failure domain out of service or back into it.
-func (s *Server) SetDrain(ctx context.Context, d model.FailureDomainID, on bool) error {
+// SetDrain takes a failure domain out of service or back into it, unless the caller has left before: it waits for
+// the given time for a response. An order without a response may take effect until a later one of the same
+// caller is confirmed, and not after that.
+func (s *Server) SetDrain(ctx context.Context, d model.FailureDomainID, on bool, patience time.Duration) error {
+	x := s.newSender(ctx, patience)
 	o, err := object(model.ObjectDrain, string(d), 0, model.Drain{FailureDomain: d})
 	if err != nil {
 		return err
@@ -237,7 +242,7 @@
 			return err
 		}
 	}
-	res, err := s.submit(ctx, &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{o}})
+	res, err := s.submitOrdered(x, &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{o}})
 	level.Info(s.o.Log).Log("msg", "drain submitted", "failureDomain", d, "on", on, "version", res.GetVersion(), "err", err)
 	return err
 }
