--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -28,6 +28,10 @@
 	minSettledBeforeWipe = 2 * settleTime
 	// baseDelay is the one-way delay between hosts.
 	baseDelay = 5 * time.Millisecond
+	// spareReplicas is how many replicas may be replaced by empty ones at other addresses.
+	spareReplicas = 3
+	// successorDelay is the time from the loss of a replica to the start of its successor.
+	successorDelay = 100 * time.Millisecond
 	// maxTornBytes is the maximum length of a torn write at the end of the log.
 	maxTornBytes = 200
 )
@@ -78,10 +82,11 @@
 
 // injectFaults injects faults for the length of the run, with recovery periods between.
 func (s *soak) injectFaults(ctx context.Context) {
-	rnd := s.newRand(5)
+	rnd, replaceRnd := s.newRand(5), s.newRand(7)
 	var wg sync.WaitGroup
 	end := s.mon.now() + s.o.Length
 	for s.mon.now() < end && ctx.Err() == nil {
+		wg.Go(func() { s.replaceReplica(replaceRnd) })
 		for phase := s.mon.now() + faultPhase; s.mon.now() < phase && ctx.Err() == nil; {
 			f, own := pickFault(rnd), rand.New(rand.NewPCG(rnd.Uint64(), 0))
 			s.faultCount.Add(1)
@@ -117,7 +122,7 @@
 
 // checkAlive restarts processes that ended by themselves, which is a violation.
 func (s *soak) checkAlive() {
-	for _, m := range slices.Concat(s.replicas, s.entries) {
+	for _, m := range slices.Concat(inUse(s.replicas), s.entries) {
 		if m.p.Exited() {
 			s.mon.check(StaysUp, false, "%s ended by itself: %v", m.name, m.p.State())
 			s.restart(m)
@@ -275,6 +280,31 @@
 	s.restart(m)
 }
 
+// replaceReplica ends a replica for good and starts an empty one at another address, if no replica had a fault for
+// minSettledBeforeWipe and there is a spare one.
+func (s *soak) replaceReplica(rnd *rand.Rand) {
+	if rnd.IntN(2) == 0 || !s.mon.undisturbed(s.mon.now()-minSettledBeforeWipe+settleTime, core) {
+		return
+	}
+	i := slices.IndexFunc(s.replicas, func(m *vm) bool { return m.unused.Load() && m.starts.Load() == 0 })
+	old := inUse(s.replicas)[rnd.IntN(len(inUse(s.replicas)))]
+	if i < 0 || !old.busy.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.beginFault(old, "gone for good")()
+	old.p.Kill()
+	old.unused.Store(true)
+	time.Sleep(successorDelay)
+	m := s.replicas[i]
+	m.settings.Domain, m.settings.FirstStart, m.settings.Seeds = old.settings.Domain, false, nil
+	for _, x := range inUse(s.replicas)[:2] {
+		m.settings.Seeds = append(m.settings.Seeds, hostPort(x.ip, controlPort))
+	}
+	s.restart(m)
+	m.unused.Store(false)
+	m.busy.Store(false)
+}
+
 // reload reverses the seeds in a settings file, with or without a signal.
 func (s *soak) reload(m *vm, rnd *rand.Rand) {
 	defer s.mon.recordFault(plannedKey(m.ip), m.name+": settings changed")()
@@ -289,7 +319,7 @@
 
 func connFault(f func(*relay.Network, string)) func(*soak, context.Context, *rand.Rand) {
 	return func(s *soak, _ context.Context, rnd *rand.Rand) {
-		list := slices.Concat(s.entries, s.replicas)
+		list := slices.Concat(s.entries, inUse(s.replicas))
 		m := list[rnd.IntN(len(list))]
 		defer s.beginFault(m, "connections harmed")()
 		f(s.net, m.ip)
@@ -298,7 +328,7 @@
 
 // delayTraffic delays all that a VM sends.
 func (s *soak) delayTraffic(_ context.Context, rnd *rand.Rand) {
-	list := slices.Concat(s.entries, s.replicas)
+	list := slices.Concat(s.entries, inUse(s.replicas))
 	m := list[rnd.IntN(len(list))]
 	defer s.beginFault(m, "delayed")()
 	s.delays.Store(m.ip, time.Duration(rnd.Int64N(int64(maxFaultDuration/8))))
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -142,7 +142,7 @@
 
 // drainLoop drains one failure domain after the other.
 func (o *operator) drainLoop(ctx context.Context) error {
-	rnd := o.s.newRand(3)
+	rnd, overtakeRnd := o.s.newRand(3), o.s.newRand(8)
 	for ctx.Err() == nil {
 		d := o.s.domain(rnd.IntN(domainCount))
 		o.retryUntilAcked(ctx, rnd, func(c context.Context, addr string) error { return o.client.Drain(c, addr, d, true) })
@@ -152,6 +152,9 @@
 		default:
 		}
 		o.setDrained(d)
+		if overtakeRnd.IntN(2) == 0 {
+			o.overtake(ctx, overtakeRnd, d)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -164,6 +167,26 @@
 	return nil
 }
 
+// overtake sends the end of a drain to a replica that freezes, moves on to others, and drains the domain again
+// before the replica wakes. The first order must not take effect after the last one is confirmed.
+func (o *operator) overtake(ctx context.Context, rnd *rand.Rand, d model.FailureDomainID) {
+	o.s.applyTo(o.s.replicas, rnd, func(m *vm) {
+		o.setDrained("")
+		defer o.s.beginFault(m, "frozen with an order")()
+		o.s.logSignalError(m, m.p.Freeze())
+		c, cancel := context.WithTimeout(ctx, orderTimeout)
+		_ = o.client.Drain(c, m.settings.Control, d, false) // It is not answered.
+		cancel()
+		for _, on := range []bool{false, true} {
+			o.retryUntilAcked(ctx, rnd, func(c context.Context, addr string) error { return o.client.Drain(c, addr, d, on) })
+		}
+		if ctx.Err() == nil {
+			o.setDrained(d)
+		}
+		o.s.logSignalError(m, m.p.Thaw())
+	})
+}
+
 func (o *operator) setDrained(d model.FailureDomainID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -167,6 +167,15 @@
 		}
 		s.replicas = append(s.replicas, m)
 	}
+	for i := range spareReplicas {
+		m, err := s.addVM("state", replicaSubnet, s.o.Replicas+i)
+		if err != nil {
+			return errs.New("soak.Run", KindStart, err)
+		}
+		m.busy.Store(true)
+		m.unused.Store(true)
+		s.replicas = append(s.replicas, m)
+	}
 	for i := range s.o.Entries {
 		m, err := s.addVM("entry", entrySubnet, i)
 		if err != nil {
@@ -174,7 +183,7 @@
 		}
 		s.entries = append(s.entries, m)
 	}
-	for _, m := range slices.Concat(s.replicas, s.entries) {
+	for _, m := range slices.Concat(inUse(s.replicas), s.entries) {
 		if err := m.start(); err != nil {
 			return errs.New("soak.Run", KindStart, err)
 		}
@@ -229,7 +238,7 @@
 
 // restartAll kills all processes at once and starts them again.
 func (s *soak) restartAll() {
-	list := slices.Concat(s.replicas, s.entries)
+	list := slices.Concat(inUse(s.replicas), s.entries)
 	for _, m := range list {
 		defer s.beginFault(m, "all are killed")()
 		m.p.Kill()
@@ -254,7 +263,7 @@
 
 // cleanup ends everything that the run started.
 func (s *soak) cleanup() {
-	for _, m := range slices.Concat(s.replicas, s.entries) {
+	for _, m := range slices.Concat(inUse(s.replicas), s.entries) {
 		m.p.Kill()
 	}
 	for _, x := range s.targets {
--- a/internal/soak/vms.go
+++ b/internal/soak/vms.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -51,8 +52,15 @@
 	starts atomic.Int32
 	// stopStartedAt is when the last planned stop began.
 	stopStartedAt atomic.Int64
-	// busy reports whether a fault is active on the VM.
+	// busy reports whether a fault is active on the VM, or it is not in use.
 	busy atomic.Bool
+	// unused reports whether the VM is a spare one, or gone for good.
+	unused atomic.Bool
+}
+
+// inUse returns the VMs of a list that are in use.
+func inUse(list []*vm) []*vm {
+	return slices.DeleteFunc(slices.Clone(list), func(m *vm) bool { return m.unused.Load() })
 }
 
 func (s *soak) ip(kind, n int) string { return fmt.Sprintf("127.%d.%d.%d", s.networkByte, kind, n) }
@@ -73,10 +81,10 @@
 	return m
 }
 
-// controlAddrs returns the control addresses of all replicas.
+// controlAddrs returns the control addresses of the replicas that are in use.
 func (s *soak) controlAddrs() []string {
 	var out []string
-	for _, m := range s.replicas {
+	for _, m := range inUse(s.replicas) {
 		out = append(out, m.settings.Control)
 	}
 	return out
@@ -88,7 +96,7 @@
 	m.settings = platform.Settings{
 		Name: m.name, IP: m.ip, Domain: s.domain(n), DomainRegions: s.domainRegions(), Internal: hostPort(m.ip, internalPort), FirstStart: true,
 		MemoryMB: 256, Heartbeat: heartbeatInterval, MaxListTTL: 3 * time.Second, TerminationGrace: terminationGrace,
-		RetryRatio: retryRatio, RetryBurst: retryBurst, RetryWindow: retryWindow, AckTimeout: 4 * time.Second,
+		RetryRatio: retryRatio, RetryBurst: retryBurst, RetryWindow: retryWindow, AckTimeout: 4 * time.Second, CatchUp: settleTime,
 		KeyLife: keyTTL, AllowanceWindow: allowanceWindow, AllowanceOverageFactor: allowanceOverageFactor, AllowanceTolerance: allowanceTolerance,
 	}
 	for i := range min(3, s.o.Replicas) {
