Refuse a withdrawal without an incarnation that its sender no longer waits for

Callers saw: nothing known; by reading, a deregistration without its start that was held at a frozen replica took out of service the incarnation of the target that had started meanwhile.

Change: the incarnation that is read counts only if the sender still waits then.

Evidence: TestLateWithdrawalWithoutIncarnation; it needs the new parameter, so it was not run on the code before.

Why it works: what is read while the sender waits is the incarnation that it means, or one that started after it was sent and within its wait; the withdrawal is committed with that incarnation, so later ones are not touched.

--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
@@ -116,9 +117,10 @@
 	return out, "", nil
 }
 
-// Withdraw marks an incarnation of a target as gone, for good. Incarnation 0 means the
-// current one.
-func (s *Server) Withdraw(ctx context.Context, id model.TargetID, incarnation uint64) error {
+// Withdraw marks an incarnation of a target as gone, for good. Incarnation 0 means the one that is
+// current while the caller waits, which it does for the given time.
+func (s *Server) Withdraw(ctx context.Context, id model.TargetID, incarnation uint64, patience time.Duration) error {
+	x := s.newSender(ctx, patience)
 	if err := (model.Target{ID: id, State: model.TargetGone, Incarnation: incarnation}).Check(); err != nil {
 		return errs.New("server.Withdraw", KindInvalid, err)
 	}
@@ -130,6 +132,9 @@
 			return err
 		}
 		o = r.Object
+		if incarnation == 0 && !x.waits() {
+			return errs.Newf("server.Withdraw", KindExpired, "another incarnation of target %s may have started since", id)
+		}
 	}
 	t := model.Target{ID: id}
 	if o != nil {
--- a/internal/server/invalid_test.go
+++ b/internal/server/invalid_test.go
@@ -52,7 +52,7 @@
 			f    func() error
 		}{
 			{"announce", func() error { return s.Announce(ctx, x, 1) }},
-			{"withdraw", func() error { return s.Withdraw(ctx, x.ID, 1) }},
+			{"withdraw", func() error { return s.Withdraw(ctx, x.ID, 1, testPatience) }},
 			{"drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), true, testPatience) }},
 			{"end of a drain", func() error { return s.SetDrain(ctx, model.FailureDomainID(name), false, testPatience) }},
 		}
@@ -97,7 +97,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
-	assert.NilError(t, s.Withdraw(ctx, "u", 0))
+	assert.NilError(t, s.Withdraw(ctx, "u", 0, testPatience))
 	assert.NilError(t, s.SetDrain(ctx, "a-1", true, testPatience))
 	checkServes(t, s, 2)
 	x, _ := s.catalogue.Targets.Get("t")
@@ -120,7 +120,7 @@
 	for _, n := range []uint64{1 << model.IncarnationBits, 1<<63 + 7, math.MaxUint64} {
 		err := s.Announce(ctx, target(n, model.TargetReady), 1)
 		assert.Check(t, errs.Is(err, model.KindInvalid), "announcement of %d: %v", n, err)
-		err = s.Withdraw(ctx, "t", n)
+		err = s.Withdraw(ctx, "t", n, testPatience)
 		assert.Check(t, errs.Is(err, model.KindInvalid), "withdrawal of %d: %v", n, err)
 	}
 	assert.NilError(t, s.Announce(ctx, target(1<<model.IncarnationBits-1, model.TargetReady), 1))
--- a/internal/server/order_test.go
+++ b/internal/server/order_test.go
@@ -243,3 +243,31 @@
 		})
 	}
 }
+
+// A withdrawal that names no incarnation means the one that was there when it was sent. Read late, it must not withdraw
+// the one that has started since.
+func TestLateWithdrawalWithoutIncarnation(t *testing.T) {
+	tests := []struct {
+		name     string
+		patience time.Duration
+		want     model.TargetState
+	}{
+		{"in time", testPatience, model.TargetGone},
+		{"read late", 0, model.TargetReady},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			ctx, cancel := context.WithTimeout(context.Background(), testAckTimeout)
+			defer cancel()
+			assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
+			err := s.Withdraw(ctx, "t", 0, tt.patience)
+			assert.Equal(t, err == nil, tt.want == model.TargetGone, "%v", err)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.refresh()
+			x, _ := s.catalogue.Targets.Get("t")
+			assert.Equal(t, x.State, tt.want)
+		})
+	}
+}
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -94,7 +94,7 @@
 			defer cancel()
 			for _, x := range tt.steps {
 				if x.state == gone {
-					assert.NilError(t, s.Withdraw(ctx, "t", x.incarnation))
+					assert.NilError(t, s.Withdraw(ctx, "t", x.incarnation, testPatience))
 					continue
 				}
 				assert.NilError(t, s.Announce(ctx, target(x.incarnation, x.state), x.sequence))
@@ -168,7 +168,7 @@
 		for i := range targets {
 			x := named(round*targets+i, 3000)
 			assert.NilError(t, s.Announce(ctx, x, 1))
-			g.Go(func() error { return s.Withdraw(ctx, x.ID, 5) })
+			g.Go(func() error { return s.Withdraw(ctx, x.ID, 5, testPatience) })
 			g.Go(func() error { return s.Announce(ctx, named(round*targets+i, 0), 2) })
 		}
 		assert.NilError(t, g.Wait())
@@ -208,7 +208,7 @@
 			defer cancel()
 			for _, x := range tt.steps {
 				if x.state == gone {
-					assert.NilError(t, s.Withdraw(ctx, "t", x.incarnation))
+					assert.NilError(t, s.Withdraw(ctx, "t", x.incarnation, testPatience))
 					continue
 				}
 				assert.NilError(t, s.Announce(ctx, target(x.incarnation, x.state), x.sequence))
