Carry out a leader's own decisions only under its own leadership

Callers saw: nothing known; by reading, a leader that froze after it had found a target silent, or a request deadly, had its successor remove a target that was back, or ban the request.

Cause: the leader's own decisions went the way of operators' orders, which looks for the present leader for up to 2 s.

Change: such decisions are put into the leader's own log only, and the removal of a silent target takes effect only if it has not announced itself since.

Why it works: an entry of a former leader that its successor lacks is never committed; the successor decides by what it has heard itself.

--- a/internal/server/order_test.go
+++ b/internal/server/order_test.go
@@ -14,6 +14,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/node"
+	"github.com/eelgrassroad/eelgrassroad/internal/poison"
 	"github.com/eelgrassroad/eelgrassroad/internal/raft"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/go-kit/log"
@@ -271,3 +272,47 @@
 		})
 	}
 }
+
+// A leader that has lost its leadership, as after a freeze, does not have its successor carry out what it had decided
+// before.
+func TestDeposedLeaderDecidesNothing(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	g.setCut(l, true)
+	for end := time.Now().Add(20 * time.Second); g.servers[l].o.Node.IsLeader() || g.leader() == l; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the replica still leads")
+	}
+	g.setCut(l, false)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "the replica does not learn of its successor")
+		if _, ok := g.servers[l].leaderClient(); ok {
+			break
+		}
+	}
+	d := model.RequestDigest{1}
+	err := g.servers[l].commitQuarantine(context.Background(), []poison.Change{{Digest: d, Quarantine: &model.Quarantine{State: model.QuarantineBanned}}})
+	assert.Assert(t, err != nil, "the ban of a former leader was committed")
+	assert.Assert(t, g.servers[g.leader()].o.Node.Machine().Object(model.ObjectQuarantine, d.String()) == nil)
+}
+
+// A target that fell silent and then announces itself must not be removed for its silence.
+func TestTargetIsBackBeforeRemoval(t *testing.T) {
+	tests := []struct {
+		name string
+		back bool
+	}{{"silent", false}, {"back", true}}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t)
+			ctx, cancel := context.WithTimeout(context.Background(), testAckTimeout)
+			defer cancel()
+			assert.NilError(t, s.Announce(ctx, target(5, model.TargetReady), 1))
+			o := s.o.Node.Machine().Object(model.ObjectTarget, "t")
+			if tt.back {
+				assert.NilError(t, s.Announce(ctx, target(5, model.TargetDraining), 2))
+			}
+			s.removeSilent(ctx, o)
+			assert.Equal(t, s.o.Node.Machine().Object(model.ObjectTarget, "t") != nil, tt.back)
+		})
+	}
+}
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -116,7 +116,7 @@
 	}
 	c, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
-	r, err := s.submit(c, q)
+	r, err := s.submitAsLeader(c, q)
 	for _, x := range changes {
 		state := model.QuarantineState("cleared")
 		var ends []model.TargetEnd
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -200,10 +200,10 @@
 
 // expired returns the targets of the list without a heartbeat within the timeout, or within
 // goneRetention for those that left. A new leader restarts the time for each target.
-func (r *registry) expired(targets []*eelpb.Object, timeout time.Duration, now time.Duration) []string {
+func (r *registry) expired(targets []*eelpb.Object, timeout time.Duration, now time.Duration) []*eelpb.Object {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
+	var out []*eelpb.Object
 	present := map[string]bool{}
 	for _, o := range targets {
 		present[o.Name] = true
@@ -217,7 +217,7 @@
 			limit = goneRetention
 		}
 		if now-at > limit {
-			out = append(out, o.Name)
+			out = append(out, o)
 		}
 	}
 	for id := range r.lastHeartbeat {
@@ -260,12 +260,19 @@
 	}
 	s.registry.recordHeartbeats(ids, term, s.o.Node.Now())
 	targets := s.o.Node.Machine().Find(model.ObjectTarget, func(*eelpb.Object) bool { return true })
-	for _, id := range s.registry.expired(targets, s.o.Heartbeat*maxMissedHeartbeats, s.o.Node.Now()) {
-		level.Info(s.o.Log).Log("msg", "target fell silent", "target", id)
-		q := &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{{Kind: string(model.ObjectTarget), Name: id, Removed: true}}}
-		if _, err := s.submit(c, q); err != nil {
-			level.Warn(s.o.Log).Log("msg", "expired target removal failed", "target", id, "err", err)
-		}
+	for _, o := range s.registry.expired(targets, s.o.Heartbeat*maxMissedHeartbeats, s.o.Node.Now()) {
+		s.removeSilent(c, o)
+	}
+}
+
+// removeSilent removes a silent target, unless it has announced itself since its object was read.
+func (s *Server) removeSilent(ctx context.Context, o *eelpb.Object) {
+	level.Info(s.o.Log).Log("msg", "target fell silent", "target", o.Name)
+	q := &eelpb.Change{Author: systemOwner, Objects: []*eelpb.Object{{
+		Kind: string(model.ObjectTarget), Name: o.Name, Removed: true, Revision: o.Revision + 1,
+	}}}
+	if _, err := s.submitAsLeader(ctx, q); err != nil {
+		level.Warn(s.o.Log).Log("msg", "expired target removal failed", "target", o.Name, "err", err)
 	}
 }
 
@@ -295,7 +302,7 @@
 	}
 	c, cancel := context.WithTimeout(ctx, maintenanceTimeout)
 	defer cancel()
-	if _, err := s.submit(c, &eelpb.Change{Author: systemOwner, Objects: missing}); err != nil {
+	if _, err := s.submitAsLeader(c, &eelpb.Change{Author: systemOwner, Objects: missing}); err != nil {
 		level.Warn(s.o.Log).Log("msg", "regions and failure domains not committed", "err", err)
 	}
 }
--- a/internal/server/submit.go
+++ b/internal/server/submit.go
@@ -123,6 +123,12 @@
 	})
 }
 
+// submitAsLeader commits a decision that this replica makes as the leader. If it leads no more, its successor
+// decides anew.
+func (s *Server) submitAsLeader(ctx context.Context, q *eelpb.Change) (*eelpb.ChangeResult, error) {
+	return stateService{s}.Submit(ctx, q)
+}
+
 // callLeader calls the leading replica, which may be this one, until a call succeeds or the
 // context ends.
 func callLeader[T any](ctx context.Context, s *Server, f func(context.Context, eelpb.State) (T, error)) (T, error) {
