Limit the heads of responses on the project's own interface

Cause: net/http keeps up to 10 MB of each head; a VM of 184 MB bears few of them.

Bodies, chunks and trailers were bounded.

Change: 64 KiB for the head of a response, interim ones included, on all connections of entries and of pkg/caller.

Why it works: the transport closes the connection beyond the limit, and the request fails as by any broken response.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,8 +181,11 @@
 	return d/2 + rand.N(d/2)
 }
 
+// maxHeadBytes is the maximum size of a response's head, including interim responses.
+const maxHeadBytes = 64 << 10
+
 func newTransport(d setup.Dialer) *http.Transport {
-	return &http.Transport{DialContext: d, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, IdleConnTimeout: time.Minute}
+	return &http.Transport{DialContext: d, MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}
 }
 
 // Handler returns the HTTP handler of the entry.
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -51,6 +51,8 @@
 	// maxSends is the maximum number of entries that one call of Do sends a request to.
 	maxSends       = 3
 	maxIdlePerHost = 256
+	// maxHeadBytes is the maximum size of the head of an entry's response.
+	maxHeadBytes = 64 << 10
 )
 
 // Options are the settings of a client.
@@ -105,7 +107,7 @@
 	if o.DialContext == nil {
 		o.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	t := &http.Transport{DialContext: o.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true}
+	t := &http.Transport{DialContext: o.DialContext, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	c := &Client{o: o, c: &http.Client{Transport: t}}
 	c.health.init(c.ping)
 	return c
