Take the memory of relayed responses from that of large responses

Cause: the Twirp client reads a reply whole, without a bound; the direct path reserves memory for each large response.

Change: the body of a reply takes two bytes for each from the memory for large responses, and ends beyond 16 MB; without memory the request fails with 502 (it may have run). The entry that relays reserves its copy.

Why it works: a reply is counted as it is read, before it is kept, against a bound over all responses of the VM.

--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -93,6 +94,7 @@
 	if o.Hop.Dial != nil && o.Key != nil {
 		h.client = &http.Client{Transport: o.Key.Transport(&http.Transport{
 			DialContext: o.Hop.Dial, DisableCompression: true, MaxIdleConnsPerHost: maxHopIdleConns, IdleConnTimeout: time.Minute,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		})}
 	}
 	return h
@@ -187,6 +189,9 @@
 			p.hops.pause(x.ID, p.now()+helperPause)
 		case isUnsupported(err):
 			p.hops.pause(x.ID, p.now()+noHopPause)
+		case errors.Is(err, errNoMemory) || errors.Is(err, errTooLong):
+			q.state.possiblyRun, q.outcome = true, unknown
+			return q.unknownOutcome("reply of " + string(x.ID) + ", which relayed the request: " + err.Error())
 		case errors.Is(err, context.DeadlineExceeded):
 			p.hops.pause(x.ID, p.now()+helperPause)
 			q.state.possiblyRun, q.outcome = true, timedOut
@@ -235,11 +240,60 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, q.state.remaining+q.overrun+lateResponseTimeout+hopMargin)
 	defer cancel()
-	r, err := eelpb.NewHopProtobufClient("http://"+x.Addr, p.hops.client).Relay(ctx, m)
+	reply := &memoryReservation{pool: p.responseMemory}
+	r, err := eelpb.NewHopProtobufClient("http://"+x.Addr, hopClient{p.hops.client, reply}).Relay(ctx, m)
 	if err == nil && r.Id != q.id {
 		err = errors.New("the reply is for another request")
 	}
-	return r, err
+	if err != nil {
+		reply.release()
+		return r, err
+	}
+	q.reservation.reserved += reply.reserved
+	return r, nil
+}
+
+// hopClient is an HTTP client whose response bodies take memory from a reservation, since the Twirp client reads them
+// whole.
+type hopClient struct {
+	c *http.Client
+	h *memoryReservation
+}
+
+// Do sends a request.
+func (x hopClient) Do(r *http.Request) (*http.Response, error) {
+	a, err := x.c.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	a.Body = &reservedBody{ReadCloser: a.Body, h: x.h, covered: unreservedBytes}
+	return a, nil
+}
+
+// reservedBody is a response body of limited size whose reader keeps replyCopies of what it reads.
+type reservedBody struct {
+	io.ReadCloser
+	h *memoryReservation
+	// n is the number of bytes read, of which covered need no further reservation.
+	n, covered int64
+}
+
+// replyCopies is the number of copies of a reply that a VM holds while it decodes it.
+const replyCopies = 2
+
+// Read reads what there is memory for.
+func (b *reservedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.n += int64(n); b.n > maxRelayedResponse+maxHeadBytes {
+		return n, errTooLong
+	}
+	if b.n > b.covered {
+		if !b.h.reserve(replyCopies * b.covered) {
+			return n, errNoMemory
+		}
+		b.covered *= 2
+	}
+	return n, err
 }
 
 // isNotSent reports whether a call failed before any byte of it was sent.
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -97,6 +97,8 @@
 	switch {
 	case !a.isLocal && !a.noReply && len(a.body) > maxRelayedResponse:
 		r.Reason = "the response is too large to be relayed"
+	case !a.isLocal && !a.noReply && len(a.body) > unreservedBytes && !q.reservation.reserve(int64(len(a.body))):
+		r.Reason = "large responses fill the memory of the VM that relays"
 	case !a.isLocal && !a.noReply:
 		r.Outcome, r.Status, r.Headers, r.Body = eelpb.RelayOutcome_RESPONDED, int32(a.status), encodeHeaders(a.header), a.body
 	case a.isLocal && a.status == http.StatusServiceUnavailable:
