Relay requests only by the routing that admitted them

Cause: a relayed request bore no revision, and was matched again by the catalogue of the entry that relays.

Change: the request bears the routing's revision, and whether the asking entry is sure that it is the newest; an entry with another revision, or one that may be out of date for one that is not, does not relay. One with an older routing waits for it for 300 ms at most.

Why it works: all requests of an entry are handled by its own routing, which never goes back.

--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -18,6 +18,7 @@
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 )
 
 // A VM that is cut off from all targets relays its callers' requests through another VM. The request
@@ -35,6 +36,9 @@
 	maxRelayed = 256
 	// maxHopTries is the number of VMs that one request is sent to.
 	maxHopTries = 3
+	// maxRoutingWait is how long a VM waits for the routing by which it is asked to relay a request.
+	maxRoutingWait = 300 * time.Millisecond
+	routingPoll    = 20 * time.Millisecond
 	// helperPause is how long a VM that could not relay is left out, and noHopPause that for one whose
 	// build cannot relay.
 	helperPause = time.Second
@@ -182,6 +186,9 @@
 		switch {
 		case err == nil && r.Outcome != eelpb.RelayOutcome_UNAVAILABLE:
 			return p.hopResponse(q, r)
+		case err == nil && r.Newer:
+			// It can relay again once this VM has the routing too.
+			q.state.sent += int(r.Sent)
 		case err == nil:
 			q.state.sent += int(r.Sent)
 			p.hops.pause(x.ID, p.now()+helperPause)
@@ -224,6 +231,7 @@
 	m := &eelpb.RelayRequest{
 		Vm: string(p.o.Hop.Self), Id: q.id, Method: q.r.Method, Uri: q.r.RequestURI, Host: q.r.Host, Body: bytes.Join(q.body, nil),
 		MaxSends: uint32(max(1, q.state.maxSends-q.state.sent)), RemainingMs: q.state.remaining.Milliseconds(), OverrunMs: q.overrun.Milliseconds(),
+		RoutingRevision: proto.Uint64(uint64(q.revision)), Fresh: p.o.Cluster.Fresh(),
 	}
 	h := endToEnd(q.r.Header)
 	if q.access.keyRequired {
--- a/internal/proxy/hop_test.go
+++ b/internal/proxy/hop_test.go
@@ -189,6 +189,50 @@
 	}
 }
 
+// A VM that is cut off has its requests relayed by VMs that have its routing: one that is cut off from the replicas, or has
+// not heard of the newest routing yet, would handle them as an older version demands, and those by others would show the
+// newer one.
+func TestHopByTheSameRouting(t *testing.T) {
+	tests := []struct {
+		name string
+		// prepare gets the cut-off VM, and one that may relay, with a catalogue of the next revision.
+		prepare func(asker, helper *hopVM, next *model.Catalogue)
+		status  int
+		// by is the revision whose target runs the request.
+		by int
+	}{
+		{"same routing", func(*hopVM, *hopVM, *model.Catalogue) {}, 200, 2},
+		{"the other VM has an older one", func(a, _ *hopVM, next *model.Catalogue) { a.w.setCatalogue(next) }, 503, 0},
+		{"the other VM has a newer one", func(_, h *hopVM, next *model.Catalogue) { h.w.setCatalogue(next) }, 503, 0},
+		{"the other VM gets the routing in time", func(a, h *hopVM, next *model.Catalogue) {
+			a.w.setCatalogue(next)
+			time.AfterFunc(maxRoutingWait/2, func() { h.w.setCatalogue(next) })
+		}, 200, 3},
+		{"the other VM does not know that it is the newest", func(_, h *hopVM, _ *model.Catalogue) { h.w.fresh = false }, 503, 0},
+		{"neither of them does", func(a, h *hopVM, _ *model.Catalogue) { a.w.fresh, h.w.fresh = false, false }, 200, 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newFakeTarget(t, okResponse)
+			c := hopCatalogue(t, nil, false, s)
+			routing := *c.Routing
+			routing.Revision++
+			next, err := c.With(c.Version+1, []model.Object{object(t, model.ObjectRouting, model.RoutingName, routing)}, nil)
+			assert.NilError(t, err)
+			vms := newHopVMs(t, 2, c)
+			vms[0].cutOff(t)
+			tt.prepare(vms[0], vms[1], next)
+			w := doRequest(vms[0].p, http.MethodPost, "/once/x", "in")
+			assert.Equal(t, w.Code, tt.status, "%s%s", w.Body, vms[0].log)
+			if tt.by > 0 {
+				assert.Equal(t, int(vms[1].w.Catalogue().Routing.Revision), tt.by)
+				return
+			}
+			assert.Equal(t, s.requests(), 0)
+		})
+	}
+}
+
 // The requests of a VM that is cut off are spread over the others, those of its region first.
 func TestHopsAreSpread(t *testing.T) {
 	s := newFakeTarget(t, okAfter(200*time.Millisecond))
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -54,14 +54,19 @@
 	if len(m.Body) > 0 {
 		q.body = requestBody{m.Body}
 	}
-	c := p.o.Cluster.Catalogue()
+	c := p.awaitRouting(q.r.Context(), m)
 	switch n := q.body.len(); {
 	case c == nil || c.Routing == nil || !p.hasUsableCatalogue():
 		return q.relayRefusal("its routing is not known")
 	case n > unreservedBytes && !q.bodyReservation.reserve(hopCopies*n):
 		return q.relayRefusal("large bodies fill its memory")
+	case m.Fresh && !p.o.Cluster.Fresh():
+		return q.relayRefusal("its catalogue may be out of date")
+	case m.RoutingRevision != nil && uint64(c.Routing.Revision) != *m.RoutingRevision:
+		q.hasNewerRouting = uint64(c.Routing.Revision) > *m.RoutingRevision
+		return q.relayRefusal("it has another routing")
 	}
-	q.version = c.Version
+	q.version, q.revision = c.Version, c.Routing.Revision
 	route, ok := c.Match(q.r.Host, q.r.URL.EscapedPath())
 	if !ok {
 		return q.relayRefusal("it knows no route that matches")
@@ -85,6 +90,23 @@
 	return p.process(q, c)
 }
 
+// awaitRouting returns the catalogue, once it has the routing by which the request was admitted: by an older one the
+// asking VM's callers would see requests handled by turns as the newer and the older one demand.
+func (p *Proxy) awaitRouting(ctx context.Context, m *eelpb.RelayRequest) *model.Catalogue {
+	until := p.now() + min(maxRoutingWait, time.Duration(m.RemainingMs)*time.Millisecond/2)
+	for {
+		c := p.o.Cluster.Catalogue()
+		if c == nil || c.Routing == nil || m.RoutingRevision == nil || uint64(c.Routing.Revision) >= *m.RoutingRevision || p.now() >= until {
+			return c
+		}
+		select {
+		case <-ctx.Done():
+			return c
+		case <-time.After(routingPoll):
+		}
+	}
+}
+
 // relayRefusal refuses a request that another VM may relay.
 func (q *request) relayRefusal(reason string) response {
 	q.cannotRelay = true
@@ -104,7 +126,7 @@
 	case a.isLocal && a.status == http.StatusServiceUnavailable:
 		r.Outcome, r.RetryAfterMs = eelpb.RelayOutcome_REFUSED, a.retryAfter.Milliseconds()
 		if q.cannotRelay {
-			r.Outcome = eelpb.RelayOutcome_UNAVAILABLE
+			r.Outcome, r.Newer = eelpb.RelayOutcome_UNAVAILABLE, q.hasNewerRouting
 		}
 	case a.isLocal && a.status == http.StatusGatewayTimeout:
 		r.Outcome = eelpb.RelayOutcome_LATE
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -58,8 +58,10 @@
 	// retryAfter is the shortest wait at the targets that refused the request.
 	retryAfter time.Duration
 	// wasRefused means that a target, or the queue for it, refused the request.
-	wasRefused  bool
-	version     model.Version
+	wasRefused bool
+	version    model.Version
+	// revision is that of the routing by which the request was matched.
+	revision    model.Revision
 	state       sendState
 	reservation memoryReservation
 	// bodyReservation is the memory reserved for the request's body.
@@ -81,6 +83,8 @@
 	// cannotRelay means that this VM refused a request that it was asked to relay, and that another
 	// one may relay it.
 	cannotRelay bool
+	// hasNewerRouting means that it refused since its routing is newer than that of the VM that asked.
+	hasNewerRouting bool
 }
 
 // response is the result that the caller gets.
@@ -123,7 +127,7 @@
 	case !p.hasUsableCatalogue():
 		return q.refusal("the routing may be out of date", p.untilConfirmed(q))
 	}
-	q.version = c.Version
+	q.version, q.revision = c.Version, c.Routing.Revision
 	route, ok := c.Match(q.r.Host, q.r.URL.EscapedPath())
 	if !ok {
 		if !p.o.Cluster.Fresh() {
