--- a/internal/server/order_test.go
+++ b/internal/server/order_test.go
@@ -151,8 +151,11 @@
 			other := (l + 1) % 3
 			assert.NilError(t, g.servers[l].setDrain(!held))
 			g.setCut(other, true)
-			done := make(chan error, 1)
-			go func() { done <- g.servers[other].setDrain(held) }()
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				_ = g.servers[other].setDrain(held) // Whether it is acknowledged is free.
+			}()
 			time.Sleep(1100 * time.Millisecond)
 			assert.NilError(t, g.servers[l].setDrain(held)) // The same order, confirmed elsewhere.
 			assert.NilError(t, g.servers[l].setDrain(!held))
