Let a process that starts behind a cut find out that it is cut off

Cause: dials that time out counted only after a first response, which such a process never gets; and once all targets rest after their failures nothing is sent, so that nothing was a reason to probe.

Excluded: the hop (the same cut without the kill was relayed), the lease and the directory.

Change: before the first response the silence counts from the first try and from the last connection, for 1.5 s at least; a request that finds no usable target is a reason to probe.

Why it works: full links, for which the condition was made, still let connections through within 1.5 s; behind a cut none is established.

--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -32,6 +32,9 @@
 	// minCutSilence is how long no target may have responded before dials that time out are taken for
 	// a cut.
 	minCutSilence = time.Second
+	// minFirstSilence replaces both until the first response: the links of a process that has just
+	// started are full with its catalogue and the callers that come back.
+	minFirstSilence = 1500 * time.Millisecond
 	// probePause is the minimum time between two probes while the links are up.
 	probePause = 250 * time.Millisecond
 	// connectedTTL is how long an established connection proves that the links are up.
@@ -71,6 +74,8 @@
 	// heardAt and connectedAt are when a target last responded and when a connection was last
 	// established.
 	heardAt, connectedAt time.Duration
+	// triedAt is when a target was first tried.
+	triedAt time.Duration
 	// refused means that the VM is cut off since connections are refused.
 	refused bool
 	// waiting holds targets that got a request since silentSince and have not responded.
@@ -100,6 +105,7 @@
 func (d *Detector) Sent(target string, now time.Duration) (probe bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordTry(now)
 	if len(d.waiting) == 0 {
 		// Silence begins with the first request that waits.
 		d.silentSince = now
@@ -136,6 +142,7 @@
 func (d *Detector) Failed(refused bool, now time.Duration) (probe bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.recordTry(now)
 	if d.connectedAt > 0 && now-d.connectedAt < connectedTTL || !refused && !d.isSilent(silenceTime, now) {
 		return false
 	}
@@ -176,11 +183,21 @@
 	return true
 }
 
-// isSilent reports whether no target has responded for a while, although one has before. A
-// process that has just started has heard of no target, and its links are fullest then. The caller
-// holds the lock.
+// recordTry records the first try; the caller holds the lock.
+func (d *Detector) recordTry(now time.Duration) {
+	if d.triedAt == 0 {
+		d.triedAt = now
+	}
+}
+
+// isSilent reports whether no target has responded for a while. Before the first response, which a process
+// that starts behind a cut never gets, the time counts from the first try, and anew from each
+// connection. The caller holds the lock.
 func (d *Detector) isSilent(length, now time.Duration) bool {
-	return d.heardAt > 0 && now-d.heardAt >= length
+	if d.heardAt > 0 {
+		return now-d.heardAt >= length
+	}
+	return d.triedAt > 0 && now-max(d.triedAt, d.connectedAt) >= max(length, minFirstSilence)
 }
 
 // restore records that the links are back; the caller holds the lock.
--- a/internal/links/links_test.go
+++ b/internal/links/links_test.go
@@ -107,6 +107,38 @@
 	assert.Assert(t, d.Probed(Probe{Dialled: 6, Refused: 6}, 7*time.Second))
 }
 
+// A process that starts behind a cut never hears of a target. It must find out all the same, while one whose links
+// are merely full still gets connections.
+func TestStartBehindCut(t *testing.T) {
+	const ms = time.Millisecond
+	tests := []struct {
+		name        string
+		connectedAt []time.Duration
+		cutOff      bool
+	}{
+		{"no connection", nil, true},
+		{"a connection just before the cut", []time.Duration{1010 * ms}, true},
+		{"a connection now and then", []time.Duration{1500 * ms, 2300 * ms, 3100 * ms}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := New()
+			for now := time.Second; now < 4*time.Second; now += 50 * ms {
+				for _, at := range tt.connectedAt {
+					if at > now-50*ms && at <= now {
+						d.Connected(at)
+					}
+				}
+				if d.Sent("a", now) || d.Sent("b", now) || d.Failed(false, now) {
+					d.Probed(Probe{Dialled: 6}, now+40*ms)
+				}
+				assert.Assert(t, !d.CutOff() || now-time.Second >= minFirstSilence-50*ms, "cut off after %v", now-time.Second)
+			}
+			assert.Equal(t, d.CutOff(), tt.cutOff)
+		})
+	}
+}
+
 // The number of cuts and the time of the last change are kept for operators.
 func TestState(t *testing.T) {
 	d := New()
--- a/internal/proxy/cutoff_test.go
+++ b/internal/proxy/cutoff_test.go
@@ -260,3 +260,32 @@
 		})
 	}
 }
+
+// The process of a VM starts while the VM has no links to targets, as after a kill during the cut. It has never heard of a
+// target, and must find out all the same that the fault is its own: its callers are served through other VMs.
+func TestVMStartsCutOff(t *testing.T) {
+	const contact, length = 3 * time.Second, 5 * time.Second
+	for _, m := range []cutMode{linksHang, linksReset, linksRefuse} {
+		t.Run(m.String(), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t, 3, 8)
+			d.startVM(3, m)
+			c := &tries{failures: map[string]int{}}
+			var g sync.WaitGroup
+			start := time.Now()
+			for n := 0; time.Since(start) < length; n++ {
+				g.Go(func() {
+					at := time.Since(start)
+					w := d.send(3, fmt.Sprintf("c%d", n), http.MethodGet, fmt.Sprintf("/safe/%d", n), "body")
+					if at > contact {
+						c.add(1, w.Code == http.StatusOK, fmt.Sprintf("%d %s", w.Code, w.Body))
+					}
+				})
+				time.Sleep(50 * time.Millisecond)
+			}
+			g.Wait()
+			t.Logf("%d of %d first tries were served", c.served[1], c.sent[1])
+			assert.Assert(t, c.sent[1] > 0 && float64(c.served[1]) >= float64(c.sent[1])*2/3, "%d of %d: %v", c.served[1], c.sent[1], c.failures)
+		})
+	}
+}
--- a/internal/proxy/deployment_test.go
+++ b/internal/proxy/deployment_test.go
@@ -92,7 +92,7 @@
 		d.targets = append(d.targets, d.startTarget(i))
 	}
 	for i := range vms {
-		d.startVM(i)
+		d.startVM(i, linksUp)
 	}
 	for _, p := range d.proxies {
 		for !p.Ready() || p.Metrics().UsableTargets < targets {
@@ -103,10 +103,12 @@
 	return d
 }
 
-func (d *deployment) startVM(i int) {
+// startVM starts a VM whose links to targets are in a state.
+func (d *deployment) startVM(i int, m cutMode) {
 	domain := model.FailureDomainID([]string{"a-1", "b-1"}[i%2])
 	srv := httptest.NewUnstartedServer(nil)
 	links := newSwitchedDialer()
+	links.set(m)
 	x, err := entry.New(entry.Options{
 		ID: model.VMID(fmt.Sprintf("v%d", i)), Addr: srv.Listener.Addr().String(), Domain: domain, Replicas: []string{d.addr}, Key: d.key,
 		Sole: true, RenewInterval: 800 * time.Millisecond, MinPullInterval: 200 * time.Millisecond, LongPollTimeout: time.Second,
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -42,6 +42,14 @@
 	}
 }
 
+// observeNoTarget tells the link detector that a request was not tried, since no target can be used: they may all
+// rest because the VM does not reach them, and no send shows that any more.
+func (p *Proxy) observeNoTarget(q *request) {
+	if q.state.tries == 0 && p.canRelay() && p.links.Failed(false, p.now()) {
+		p.startLinkProbe()
+	}
+}
+
 // startLinkProbe probes the links, and goes on until they are back if the VM is cut off.
 func (p *Proxy) startLinkProbe() {
 	p.g.Go(func(ctx context.Context) error {
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -262,6 +262,7 @@
 		}
 		t, spillover, ok := p.choose(q, c, tried)
 		if !ok {
+			p.observeNoTarget(q)
 			return p.noTargetResponse(q, c)
 		}
 		tried[t.id] = true
