Commit no quarantine while an entry of the group may refuse the catalogue for it

Until none is left that may refuse, the leader keeps its evidence and commits nothing.

Why it works: an entry that could refuse the object has renewed its lease with this leader, or has none and is not counted for more than a minute, after which it refuses requests by itself.

--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -129,7 +129,7 @@
 	q := &eelpb.RenewRequest{
 		Vm: string(x.o.ID), Incarnation: x.lease.incarnation, Addr: x.o.Addr,
 		FailureDomain: string(x.o.Domain), Leaving: x.leaving.Load(), Sole: x.o.Sole,
-		Sequence: x.lease.sequence, SeenGrant: x.lease.grant,
+		Sequence: x.lease.sequence, SeenGrant: x.lease.grant, Format: model.CatalogueFormat,
 	}
 	x.lease.mu.Unlock()
 	q.Version = uint64(x.store.version())
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -82,6 +82,10 @@
 		s.mu.Unlock()
 		return false
 	}
+	if s.mayBeRefused() {
+		s.mu.Unlock()
+		return false
+	}
 	changes := l.Decide(s.isQuarantined, s.o.Node.Now())
 	pending = l.Pending()
 	s.mu.Unlock()
@@ -97,6 +101,21 @@
 	return true
 }
 
+// mayBeRefused reports whether an entry of the group may refuse a catalogue with an object of a later kind. The caller
+// holds mu.
+func (s *Server) mayBeRefused() bool {
+	now := s.o.Node.Now()
+	if now-s.ledgersFrom < gatherTime {
+		return true
+	}
+	vm := s.formats.refusing(now)
+	if vm != s.refusedBy {
+		s.refusedBy = vm
+		level.Warn(s.o.Log).Log("msg", "quarantine suspended", "until", "no entry of an earlier build refuses it", "vm", vm)
+	}
+	return vm != ""
+}
+
 func (s *Server) isQuarantined(d model.RequestDigest) bool {
 	return s.o.Node.Machine().Object(model.ObjectQuarantine, d.String()) != nil
 }
--- a/internal/server/quarantine_test.go
+++ b/internal/server/quarantine_test.go
@@ -14,7 +14,7 @@
 // renewEnd renews the lease of an entry that reports the end of a target under a request.
 func renewEnd(t *testing.T, s *Server, sequence uint64, target string, d model.RequestDigest) {
 	t.Helper()
-	q := &eelpb.RenewRequest{Vm: "v", Incarnation: 1, Addr: "127.0.0.1:1", FailureDomain: "a-1", Sequence: sequence, Sole: true}
+	q := &eelpb.RenewRequest{Vm: "v", Incarnation: 1, Addr: "127.0.0.1:1", FailureDomain: "a-1", Sequence: sequence, Sole: true, Format: model.CatalogueFormat}
 	if target != "" {
 		q.Ends = []*eelpb.TargetEnd{{Target: target, Incarnation: 1, AgeMs: 2000 - 200*sequence, Requests: []*eelpb.RequestInFlight{{Digest: d[:], Route: "r"}}}}
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -100,18 +100,23 @@
 	o Options
 	e *echo.Echo
 
-	mu        sync.Mutex
-	term      raft.Term
-	grantor   *lease.Grantor
-	ledger    *quota.Ledger
-	catalogue *model.Catalogue
-	registry  registry
+	mu   sync.Mutex
+	term raft.Term
+	// ledgersFrom is when the ledgers of the term began.
+	ledgersFrom time.Duration
+	grantor     *lease.Grantor
+	ledger      *quota.Ledger
+	catalogue   *model.Catalogue
+	registry    registry
 	// suspects is the evidence on which requests end targets, at the leader.
 	suspects *poison.Ledger
+	// refusedBy is an entry that would refuse the catalogue for a quarantine, or "".
+	refusedBy model.VMID
 	// newEvidence receives a value when there is new evidence.
 	newEvidence chan struct{}
 	batches     batcher
 	fences      fences
+	formats     formats
 	g           *group.Group
 }
 
@@ -187,7 +192,7 @@
 	}
 	s.refresh()
 	if s.grantor == nil || s.term != t {
-		s.term = t
+		s.term, s.ledgersFrom = t, s.o.Node.Now()
 		s.grantor = lease.New(lease.Options{Duration: s.o.LeaseDuration}, won, uint64(t))
 		s.ledger = quota.NewLedger(quota.LedgerOptions{Bounds: s.o.Allowances, FallbackTimeout: s.o.FallbackTimeout, StartedAt: s.o.Node.Now()})
 		s.suspects = poison.NewLedger(s.catalogue.Quarantine, s.o.Node.Now())
@@ -234,6 +239,7 @@
 	if err != nil {
 		return nil, twirp.NewError(twirp.AlreadyExists, err.Error())
 	}
+	s.observeFormat(q)
 	s.addCredits(q, a, c)
 	s.recordEvidence(q)
 	// A process that was suspended meanwhile must not grant a lease for a past term.
--- a/pkg/model/quarantine.go
+++ b/pkg/model/quarantine.go
@@ -24,6 +24,10 @@
 	return RequestDigest(b), nil
 }
 
+// CatalogueFormat is the format of the catalogue that this build reads: all kinds of objects up to the quarantine.
+// Objects of a later kind are left out.
+const CatalogueFormat = 1
+
 // QuarantineState says how a request is treated.
 type QuarantineState string
 
