Soak: name a target's limit also in doubled and cut responses

Traced by the logs: the target t10-10 named 1.73 requests a second from 15.1 to 31.0 s and doubled its responses from 26.9 s on; entry2 recorded 'target limits' with 0 at 28.06 s, by such a response, and sent freely from then on. Doubled and cut responses are written on the hijacked connection, without the headers that the target has set, so that the target took its limit back in them, while the check went on counting by it: the check was wrong, the entry followed what the target said.

Change: these responses bear the target's headers; the check and its bound stay. TestRawResponseHeaders.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,13 +1,17 @@
 package soak
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"fmt"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/platform"
 	"gotest.tools/v3/assert"
 )
 
@@ -69,3 +73,17 @@
 		})
 	}
 }
+
+// A target that doubles its responses still names its limit in them: else entries take the limit for taken back, while the
+// check goes on counting by it (seed 42119).
+func TestRawResponseHeaders(t *testing.T) {
+	h := http.Header{}
+	(&limiter{perSecond: 1.5, toldAt: map[string]time.Duration{}}).announce(h, "e", time.Second, time.Second)
+	var b bytes.Buffer
+	writeRawResponse(&b, h, "id-1", "body", 4)
+	r, err := http.ReadResponse(bufio.NewReader(&b), nil)
+	assert.NilError(t, err)
+	defer r.Body.Close()
+	assert.Equal(t, r.Header.Get(platform.Headers.Limit), "1.5")
+	assert.Equal(t, r.Header.Get(platform.Headers.RequestID), "id-1")
+}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -351,10 +351,10 @@
 		defer c.Close()
 		body := expectedBody(id)
 		if m == duplicating {
-			writeRawResponse(b, "stray-"+id, expectedBody("stray-"+id), len(expectedBody("stray-"+id)))
-			writeRawResponse(b, id, body, len(body))
+			writeRawResponse(b, nil, "stray-"+id, expectedBody("stray-"+id), len(expectedBody("stray-"+id)))
+			writeRawResponse(b, rw.Header(), id, body, len(body))
 		} else {
-			writeRawResponse(b, id, body[:len(body)/2], len(body))
+			writeRawResponse(b, rw.Header(), id, body[:len(body)/2], len(body))
 		}
 		// The other side detects truncation.
 		_ = b.Flush()
@@ -376,11 +376,13 @@
 	_, _ = io.WriteString(rw, body) // The other side detects truncation.
 }
 
-// writeRawResponse writes a response whose Content-Length may exceed the body.
-func writeRawResponse(w interface{ WriteString(string) (int, error) }, id, body string, length int) {
+// writeRawResponse writes a response whose Content-Length may exceed the body, with the headers that the target has set.
+func writeRawResponse(w io.Writer, h http.Header, id, body string, length int) {
 	d := platform.Headers
-	_, _ = w.WriteString(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
-		d.RequestID, id, d.Digest, expectedDigest(id), length, body))
+	// The other side detects truncation.
+	_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n")
+	_ = h.Write(w)
+	_, _ = fmt.Fprintf(w, "%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", d.RequestID, id, d.Digest, expectedDigest(id), length, body)
 }
 
 // expectedBody returns the only valid response body for a request.
