--- a/review/11/platform/deploy.go
+++ b/review/11/platform/deploy.go
@@ -33,6 +33,8 @@
 type node struct {
 	name, role, ip, zone, dir string
 	first                     bool
+	// bindSource makes the process connect from its own address, as on a machine of its own.
+	bindSource bool
 	// maxFDs limits the descriptors of the process, if set.
 	maxFDs int
 
@@ -146,6 +148,9 @@
 	c.Dir = d.root
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + d.dir, "EELGRASSROAD_BOOT=" + conf,
 		"EEL_KEY=shared by the processes of one deployment", "EEL_METRICS=9464"}
+	if x.bindSource {
+		c.Env = append(c.Env, "EEL_BIND_SOURCE=1")
+	}
 	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
--- a/review/11/platform/main.go
+++ b/review/11/platform/main.go
@@ -51,7 +51,7 @@
 func run(name, root string, rec *record, trouble bool) (bool, error) {
 	states, entries := 3, 0
 	switch name {
-	case "cold", "replace", "idle":
+	case "cold", "replace", "idle", "gone":
 		entries = 2
 	case "deadly":
 		entries = 6
@@ -74,6 +74,8 @@
 		return replaced(d, trouble)
 	case "idle":
 		return idle(d, trouble, 110)
+	case "gone":
+		return gone(d, trouble)
 	case "limit":
 		return limited(d, trouble, 4, 270)
 	case "deadly-together":
--- a/review/11/platform/server.go
+++ b/review/11/platform/server.go
@@ -52,6 +52,8 @@
 	before func(sequence int)
 	crash  int // arrivals in a second at which a cold server crashes, or 0
 	ended  bool
+	// conns are the open connections, if they are tracked.
+	conns map[net.Conn]bool
 	// deadly is the path of a request that crashes the server when it begins to run it; crashed is called then.
 	deadly  string
 	crashed func(id string, at time.Duration)
@@ -73,7 +75,17 @@
 		return err
 	}
 	s.lis = l
-	s.h = &http.Server{Handler: s}
+	s.h = &http.Server{Handler: s, ConnState: func(c net.Conn, st http.ConnState) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch {
+		case s.conns == nil:
+		case st == http.StateNew:
+			s.conns[c] = true
+		case st == http.StateClosed:
+			delete(s.conns, c)
+		}
+	}}
 	go func() { _ = s.h.Serve(l) }()
 	go s.beat()
 	return nil
