Review: connections that a cut accepts and resets

Cause: a dial that succeeds proves the links of a front machine, whatever becomes of its sends, so it relays nothing.

--- a/review/11/platform/deadly.go
+++ b/review/11/platform/deadly.go
@@ -8,7 +8,7 @@
 
 // deadly sends a request that crashes the servers that begin to run it. In series it comes three times, each time at one machine.
 // Otherwise it comes twice, and later at all machines within a moment.
-func deadly(d *deployment, trouble, series bool, attempts int) (broken bool, err error) {
+func deadly(d *deployment, trouble, series, silent bool, attempts int) (broken bool, err error) {
 	const (
 		contact = 3 * time.Second
 		path    = "/ask/deadly"
@@ -34,7 +34,7 @@
 		s := d.newServer(n, "svc", zones[n%len(zones)], 3, 150*time.Millisecond)
 		s.setCold(cold)
 		if trouble {
-			s.deadly = path
+			s.deadly, s.silent = path, silent
 		}
 		s.crashed = func(id string, at time.Duration) {
 			d.rec.add("server %s at %s crashes as it begins to run %s", s.id, s.addr(), id)
@@ -104,7 +104,11 @@
 		return crashes[2].at
 	}
 	if series {
-		for i := range 4 {
+		times := 4
+		if silent {
+			times = 9
+		}
+		for i := range times {
 			d.rec.add("the request is sent to %s", d.fronts()[i%len(d.fronts())])
 			send(d.fronts()[i%len(d.fronts())])
 			time.Sleep(contact + 1500*time.Millisecond)
--- a/review/11/platform/gone.go
+++ b/review/11/platform/gone.go
@@ -96,13 +96,5 @@
 // cut closes the listener of a server and resets the connections from an address.
 func (s *server) cut(ip string) {
 	_ = s.lis.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		h, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-		if h == ip {
-			_ = c.(*net.TCPConn).SetLinger(0)
-			_ = c.Close()
-		}
-	}
+	s.reset(ip)
 }
--- a/review/11/platform/idle.go
+++ b/review/11/platform/idle.go
@@ -9,11 +9,12 @@
 	"time"
 )
 
-// idle has each request come from a client of its own, whose connection stays open and idle. The operator's idle_timeout is 15 s.
+// idle has each request come from a client of its own, which asks the directory first, and whose connections stay open and idle. The
+// operator's idle_timeout is 15 s.
 func idle(d *deployment, trouble bool, rate float64) (broken bool, err error) {
 	const (
-		contact = 3 * time.Second
-		length  = 86 * time.Second
+		contact = 4 * time.Second
+		length  = 74 * time.Second
 	)
 	for _, x := range d.entries {
 		x.maxFDs = 4100
@@ -44,7 +45,6 @@
 	type try struct {
 		entry  int
 		at     time.Duration
-		ok     bool
 		status int
 		err    string
 	}
@@ -83,48 +83,58 @@
 			}
 		})
 	}
-	one := func(i int) {
-		t := &try{entry: i, at: d.rec.now()}
-		mu.Lock()
-		tries = append(tries, t)
-		mu.Unlock()
-		c, err := net.DialTimeout("tcp", d.fronts()[i], time.Second)
+	// ask sends one call on a new connection and returns its status. With trouble the connection stays open: its client does
+	// nothing more, and closes it when the entry does.
+	ask := func(addr, call string) (int, error) {
+		c, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			return 0, err
+		}
+		_ = c.SetDeadline(time.Now().Add(3 * time.Second))
+		_, err = c.Write([]byte(call))
+		var resp *http.Response
 		if err == nil {
-			id := fmt.Sprintf("%016x", 0x9c41d07b00000000+uint64(requestNumber.Add(1)))
-			_ = c.SetDeadline(time.Now().Add(3 * time.Second))
-			_, err = fmt.Fprintf(c, "GET /ask/%s HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", id, id)
-			var resp *http.Response
-			if err == nil {
-				resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+			resp, err = http.ReadResponse(bufio.NewReader(c), nil)
+		}
+		if err != nil || !trouble {
+			_ = c.Close()
+			if err != nil {
+				return 0, err
 			}
-			if err == nil {
-				mu.Lock()
-				t.status, t.ok = resp.StatusCode, resp.StatusCode == 200
-				if trouble {
-					open = append(open, c) // The client does nothing more. It closes when the entry does.
-				}
-				mu.Unlock()
-				if trouble {
-					g.Go(func() {
-						_ = c.SetDeadline(time.Time{})
-						var b [4096]byte
-						for {
-							if _, err := c.Read(b[:]); err != nil {
-								_ = c.Close()
-								return
-							}
-						}
-					})
+			return resp.StatusCode, nil
+		}
+		mu.Lock()
+		open = append(open, c)
+		mu.Unlock()
+		g.Go(func() {
+			_ = c.SetDeadline(time.Time{})
+			var b [4096]byte
+			for {
+				if _, err := c.Read(b[:]); err != nil {
+					_ = c.Close()
 					return
 				}
 			}
-			_ = c.Close()
-		}
+		})
+		return resp.StatusCode, nil
+	}
+	one := func(i int) {
+		// Clients allow a second for the directory; without it they use an address that they know.
+		_, _ = ask(fmt.Sprintf("%s:%d", d.entries[i].ip, directoryPort), fmt.Sprintf(
+			"GET /api/resolve?name=review.example&region=%s&zone=%s HTTP/1.1\r\nHost: directory\r\n\r\n", regionOf(d.entries[i].zone), d.entries[i].zone))
+		t := &try{entry: i, at: d.rec.now()}
+		mu.Lock()
+		tries = append(tries, t)
+		mu.Unlock()
+		id := fmt.Sprintf("%016x", 0x9c41d07b00000000+uint64(requestNumber.Add(1)))
+		status, err := ask(d.fronts()[i], fmt.Sprintf(
+			"GET /ask/%s HTTP/1.1\r\nHost: review.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n\r\n", id, id))
+		mu.Lock()
+		t.status = status
 		if err != nil {
-			mu.Lock()
 			t.err = err.Error()
-			mu.Unlock()
 		}
+		mu.Unlock()
 	}
 	var tg sync.WaitGroup
 	next := time.Now()
--- a/review/11/platform/main.go
+++ b/review/11/platform/main.go
@@ -53,7 +53,7 @@
 	switch name {
 	case "cold", "replace", "idle", "gone":
 		entries = 2
-	case "deadly":
+	case "deadly", "deadly-silent", "reset":
 		entries = 6
 	case "deadly-together":
 		entries = 9
@@ -69,17 +69,21 @@
 	case "cold":
 		return cold(d, trouble)
 	case "deadly":
-		return deadly(d, trouble, true, 3)
+		return deadly(d, trouble, true, false, 3)
 	case "replace":
 		return replaced(d, trouble)
 	case "idle":
-		return idle(d, trouble, 110)
+		return idle(d, trouble, 67)
 	case "gone":
 		return gone(d, trouble)
+	case "reset":
+		return resets(d, trouble)
 	case "limit":
 		return limited(d, trouble, 4, 270)
+	case "deadly-silent":
+		return deadly(d, trouble, true, true, 2)
 	case "deadly-together":
-		return deadly(d, trouble, false, 2)
+		return deadly(d, trouble, false, false, 2)
 	}
 	return false, fmt.Errorf("no case is called %q", name)
 }
--- a/review/11/platform/server.go
+++ b/review/11/platform/server.go
@@ -52,10 +52,14 @@
 	before func(sequence int)
 	crash  int // arrivals in a second at which a cold server crashes, or 0
 	ended  bool
+	// picky, if set, resets the connections of a machine that is cut off.
+	picky *picky
 	// conns are the open connections, if they are tracked.
 	conns map[net.Conn]bool
 	// deadly is the path of a request that crashes the server when it begins to run it; crashed is called then.
-	deadly  string
+	deadly string
+	// silent means that such a crash takes the machine along: open connections get no answer and no reset.
+	silent  bool
 	crashed func(id string, at time.Duration)
 }
 
@@ -74,6 +78,10 @@
 	if err != nil {
 		return err
 	}
+	if s.picky != nil {
+		s.picky.Listener = l
+		l = s.picky
+	}
 	s.lis = l
 	s.h = &http.Server{Handler: s, ConnState: func(c net.Conn, st http.ConnState) {
 		s.mu.Lock()
@@ -91,6 +99,16 @@
 	return nil
 }
 
+// goDark ends check-ins and the listener, and leaves the open connections without an answer for as long as the case runs.
+func (s *server) goDark() {
+	s.mu.Lock()
+	s.ended = true
+	s.mu.Unlock()
+	close(s.done)
+	_ = s.lis.Close()
+	time.Sleep(maxTime)
+}
+
 // end closes everything, as the end of the process would.
 func (s *server) end() {
 	s.mu.Lock()
@@ -249,6 +267,9 @@
 	s.mu.Unlock()
 	if s.deadly != "" && r.URL.Path == s.deadly {
 		s.crashed(id, s.d.rec.now())
+		if s.silent {
+			s.goDark()
+		}
 		s.end()
 		panic(http.ErrAbortHandler)
 	}
