--- a/review/11/platform/idle.go
+++ b/review/11/platform/idle.go
@@ -6,9 +6,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// minOwnFDs is the number of descriptors that the clients need: two for each request.
+const minOwnFDs = 12_000
+
 // idle has each request come from a client of its own, which asks the directory first, and whose connections stay open and idle. The
 // operator's idle_timeout is 15 s.
 func idle(d *deployment, trouble bool, rate float64) (broken bool, err error) {
@@ -16,6 +20,14 @@
 		contact = 4 * time.Second
 		length  = 74 * time.Second
 	)
+	// This process holds the other end of all connections.
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil {
+		return false, err
+	}
+	if own.Cur < minOwnFDs {
+		return false, fmt.Errorf("the stand-ins need %d descriptors, this process may have %d", minOwnFDs, own.Cur)
+	}
 	for _, x := range d.entries {
 		x.maxFDs = 4100
 	}
