--- a/review/11/platform/deploy.go
+++ b/review/11/platform/deploy.go
@@ -44,10 +44,12 @@
 
 // deployment is a set of machines on loopback addresses.
 type deployment struct {
-	net     int
-	dir     string
-	root    string
-	entries []*node
+	net int
+	// reserved is the listener that keeps the network.
+	reserved net.Listener
+	dir      string
+	root     string
+	entries  []*node
 	// mu guards states, the machines of the core in use, and all, which lists the former ones too.
 	mu     sync.Mutex
 	states []*node
@@ -73,14 +75,16 @@
 		return nil, err
 	}
 	d := &deployment{dir: dir, root: root, bounds: defaultBounds(), rec: rec}
-	for range 20 {
+	// The listener keeps the network for this run, so that several runs at the same time don't share one.
+	for range 100 {
 		d.net = 10 + rand.IntN(200)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", d.net, controlPort))
-		if err == nil {
-			_ = l.Close()
+		if d.reserved, err = net.Listen("tcp", fmt.Sprintf("127.%d.255.1:%d", d.net, controlPort)); err == nil {
 			break
 		}
 	}
+	if err != nil {
+		return nil, err
+	}
 	for i := range states {
 		d.states = append(d.states, d.newNode("state", 1, i))
 	}
@@ -210,6 +214,7 @@
 		g.Go(x.kill)
 	}
 	g.Wait()
+	_ = d.reserved.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(d.dir)
 	} else {
