Compare the end of a target's cold time, not its length

Cause: a replica looked for a new cold time by comparing remaining milliseconds. 2970 said 1.5 s after 3000 is less, but ends later.

Excluded: the entries' own end (they keep the latest), late or reordered check-ins, another replica (a form of the same fault, mended too).

Change: a replica remembers the end that follows from what it committed and commits a later one; the tolerance is the allowance that entries add to each end, so that what is not committed is covered. An announcement whose predecessor the replica has not received is committed. Entries recognize a new cold time by the version of the record, since a record in between may be passed over. The log and the metrics say why a cold time was committed.

--- a/cmd/eelplat/state.go
+++ b/cmd/eelplat/state.go
@@ -51,7 +51,12 @@
 	if err != nil {
 		return errors.Join(err, n.Close())
 	}
-	d.serveMetrics(func() any { return n.Status() })
+	d.serveMetrics(func() any {
+		return struct {
+			node.Status
+			server.Metrics
+		}{n.Status(), sv.Metrics()}
+	})
 	if err := d.serve("replicas and entries", s.Internal, sv.Handler()); err != nil {
 		return errors.Join(err, n.Close())
 	}
--- a/internal/proxy/registry.go
+++ b/internal/proxy/registry.go
@@ -130,7 +130,7 @@
 		if wasDrained[m.FailureDomain] && !r.drained[m.FailureDomain] {
 			// The caches of the targets may have become cold while no requests were sent to them,
 			// and an announcement of that may be in transit.
-			r.byID[id].extendCold(now + r.o.HeartbeatInterval + announcementDelay)
+			r.byID[id].extendCold(now + r.o.HeartbeatInterval + model.AnnouncementDelay)
 		}
 	}
 }
@@ -205,7 +205,7 @@
 func (r *registry) reuseOrCreate(old *target, m model.Target, now time.Duration) *target {
 	cold := time.Duration(0)
 	if m.ColdMillis > 0 {
-		cold = now + m.ColdMillis.Duration() + announcementDelay
+		cold = now + m.ColdMillis.Duration() + model.AnnouncementDelay
 	}
 	if old == nil || !old.sameIncarnation(m) {
 		x := &target{id: m.ID, domain: m.FailureDomain, record: m, hash: place.HashTarget(string(m.ID)), coldUntil: cold, dispatcher: newDispatcher(m.Slots)}
@@ -216,7 +216,8 @@
 	old.conns.open()
 	old.mu.Lock()
 	defer old.mu.Unlock()
-	if m.ColdMillis > 0 && m.ColdMillis != old.record.ColdMillis {
+	// The version recognizes a new cold time also where a record in between was not read.
+	if m.ColdMillis > 0 && (m.Version != old.record.Version || m.ColdMillis != old.record.ColdMillis) {
 		old.coldUntil = max(old.coldUntil, cold)
 		old.warm.Clear()
 		old.dispatcher.clearWarm()
--- a/internal/proxy/registry_test.go
+++ b/internal/proxy/registry_test.go
@@ -145,3 +145,37 @@
 		})
 	}
 }
+
+// A target becomes cold again, and the VM reads a catalogue in which a record in between is passed over and the last one
+// has the time of the first. The new cold time must count from then, and is no new one where the record is only listed
+// again.
+func TestColdAnewByVersion(t *testing.T) {
+	cold := func(ms model.Millis) []model.Object {
+		return []model.Object{object(t, model.ObjectTarget, "t0", model.Target{
+			Service: "s", FailureDomain: "a-1", Addr: "127.0.0.1:9000", Slots: 1, State: model.TargetReady, Incarnation: 1, ColdMillis: ms,
+		})}
+	}
+	put := func(c *model.Catalogue, ms model.Millis) *model.Catalogue {
+		o := cold(ms)
+		o[0].Version = c.Version + 1
+		next, err := c.With(c.Version+1, o, nil)
+		assert.NilError(t, err)
+		return next
+	}
+	now := time.Second
+	x := &registry{}
+	x.init(Options{}, func() time.Duration { return now })
+	c := put(manyTargets(t, 1), 3000)
+	x.update(c)
+	assert.Equal(t, x.byID["t0"].coldUntil, 4*time.Second+model.AnnouncementDelay)
+	now = 3 * time.Second
+	c = put(put(c, 2970), 3000)
+	x.update(c)
+	until := 6*time.Second + model.AnnouncementDelay
+	assert.Equal(t, x.byID["t0"].coldUntil, until)
+	now = 5 * time.Second
+	c, err := c.With(c.Version+1, []model.Object{object(t, model.ObjectDrain, "b-1", model.Drain{FailureDomain: "b-1"})}, nil)
+	assert.NilError(t, err)
+	x.update(c)
+	assert.Equal(t, x.byID["t0"].coldUntil, until, "the same record counts as a new cold time")
+}
--- a/internal/proxy/target.go
+++ b/internal/proxy/target.go
@@ -21,8 +21,6 @@
 	// address. A target that has ended is removed from the catalogue much earlier; one that is still
 	// listed may have been misjudged.
 	addressTakenTimeout = 30 * time.Second
-	// announcementDelay is an allowance for the delay of an announcement on its way to this VM.
-	announcementDelay = 500 * time.Millisecond
 )
 
 // target is the state of one target as this VM sees it.
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -22,12 +22,13 @@
 	if err := model.CheckSequence(sequence); err != nil {
 		return errs.New("server.Announce", KindInvalid, err)
 	}
-	coldAgain := s.registry.recordAnnouncement(t, sequence)
+	received := s.now()
 	o := s.o.Node.Machine().Object(model.ObjectTarget, string(t.ID))
-	if o != nil && coldAgain {
+	cold := s.registry.recordAnnouncement(o, t, sequence, received)
+	if o != nil && cold != "" {
 		t.ColdMillis = s.registry.distinctCold(o, t)
 	}
-	if o != nil && !coldAgain && s.registry.isCommitted(o, t) {
+	if o != nil && cold == "" && s.registry.isCommitted(o, t) {
 		s.registry.observe(string(t.ID))
 		return nil
 	}
@@ -53,9 +54,9 @@
 	if err != nil {
 		return err // The request handler logs that the announcement was not acknowledged.
 	}
-	s.registry.recordCommit(t.ID)
+	s.registry.recordCommit(t, sequence, received)
 	level.Info(s.o.Log).Log("msg", "target announced", "target", t.ID, "service", t.Service, "state", t.State, "addr", t.Addr,
-		"failureDomain", t.FailureDomain, "coldMillis", t.ColdMillis, "incarnation", t.Incarnation, "sequence", sequence,
+		"failureDomain", t.FailureDomain, "coldMillis", t.ColdMillis, "coldReason", cold, "incarnation", t.Incarnation, "sequence", sequence,
 		"version", v)
 	s.registry.observe(string(t.ID))
 	return nil
--- a/internal/server/registry.go
+++ b/internal/server/registry.go
@@ -44,6 +44,8 @@
 	announcements map[model.TargetID]announcement
 	// decoded caches the decoded targets of the catalogue, by id.
 	decoded map[string]decoded
+	// coldAgain and coldUnknown count commits of a cold time by reason.
+	coldAgain, coldUnknown int64
 }
 
 // decoded is a target of the catalogue. It is valid while the catalogue holds the same object.
@@ -56,45 +58,102 @@
 type announcement struct {
 	incarnation, sequence uint64
 	coldMillis            model.Millis
-	// coldAgain means that the target became cold again and that this is not committed yet.
-	coldAgain bool
+	// coldUntil is when the target becomes warm by what this replica committed of it. The entries
+	// add model.AnnouncementDelay.
+	coldUntil time.Duration
+	// coldReason is why the cold time has to be committed anew, until it is.
+	coldReason coldReason
 }
 
-// recordAnnouncement records an announcement unless it is late, and reports whether a target that was
-// warming up has become cold again, which must be committed.
-func (r *registry) recordAnnouncement(t model.Target, sequence uint64) (coldAgain bool) {
+// coldReason is why the cold time of a target that is warming up has to be committed anew.
+type coldReason string
+
+const (
+	// coldAgain means that the target became cold again.
+	coldAgain coldReason = "again"
+	// coldUnknown means that this replica has not received the announcement before, so that it does
+	// not know when the target becomes warm by what is committed.
+	coldUnknown coldReason = "unknown"
+)
+
+// recordAnnouncement records an announcement unless it is late, and returns why its cold time has to be
+// committed anew, or "". o is the stored object or nil.
+func (r *registry) recordAnnouncement(o *eelpb.Object, t model.Target, sequence uint64, now time.Duration) coldReason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last, ok := r.announcements[t.ID]
 	if ok && (t.Incarnation < last.incarnation || t.Incarnation == last.incarnation && sequence <= last.sequence) {
-		return false
+		return ""
 	}
 	if r.announcements == nil {
 		r.announcements = map[model.TargetID]announcement{}
 	}
-	if ok && t.Incarnation == last.incarnation && t.ColdMillis > 0 {
-		coldAgain = last.coldAgain || t.ColdMillis > last.coldMillis
+	next := announcement{incarnation: t.Incarnation, sequence: sequence, coldMillis: t.ColdMillis}
+	known := ok && t.Incarnation == last.incarnation
+	if known {
+		next.coldUntil = last.coldUntil
 	}
-	r.announcements[t.ID] = announcement{t.Incarnation, sequence, t.ColdMillis, coldAgain}
-	return coldAgain
+	switch {
+	case t.ColdMillis == 0:
+	case !known:
+		if r.holds(o, t.Incarnation) {
+			next.coldReason = coldUnknown
+		}
+	case last.coldReason != "":
+		next.coldReason = last.coldReason
+	case t.ColdMillis > last.coldMillis, now+t.ColdMillis.Duration() > last.coldUntil+model.AnnouncementDelay:
+		// The second one is beyond what the entries assume. A later end within the allowance
+		// may be a delay of the announcement, and is covered.
+		next.coldReason = coldAgain
+	}
+	r.announcements[t.ID] = next
+	return next.coldReason
 }
 
-// recordCommit records that what a target announced last is committed.
-func (r *registry) recordCommit(id model.TargetID) {
+// holds reports whether the stored object is of an incarnation; the caller holds the lock.
+func (r *registry) holds(o *eelpb.Object, incarnation uint64) bool {
+	if o == nil {
+		return false
+	}
+	x, ok := r.decode(o)
+	return ok && x.Incarnation == incarnation
+}
+
+// recordCommit records that the announcement with a sequence number, received at a time, is committed.
+func (r *registry) recordCommit(t model.Target, sequence uint64, received time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if last, ok := r.announcements[id]; ok {
-		last.coldAgain = false
-		r.announcements[id] = last
+	last, ok := r.announcements[t.ID]
+	if !ok || last.incarnation != t.Incarnation {
+		return
+	}
+	if t.ColdMillis > 0 {
+		last.coldUntil = max(last.coldUntil, received+t.ColdMillis.Duration())
+	}
+	if last.sequence == sequence {
+		r.countCold(last.coldReason)
+		last.coldReason = ""
+	}
+	r.announcements[t.ID] = last
+}
+
+// countCold counts a commit of a cold time; the caller holds the lock.
+func (r *registry) countCold(why coldReason) {
+	switch why {
+	case coldAgain:
+		r.coldAgain++
+	case coldUnknown:
+		r.coldUnknown++
 	}
 }
 
 // distinctCold returns for how long a target that is cold again stays cold, such that it differs from
-// what is stored by a millisecond at least: readers tell by the difference that it is cold anew.
+// what is stored by a millisecond at least: entries of former builds recognize a new cold time by the
+// difference, others by the version of the record.
 func (r *registry) distinctCold(o *eelpb.Object, t model.Target) model.Millis {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if x, ok := r.decode(o); ok && x.ColdMillis == t.ColdMillis {
+	if x, ok := r.decode(o); ok && x.Incarnation == t.Incarnation && x.ColdMillis == t.ColdMillis {
 		return t.ColdMillis + 1
 	}
 	return t.ColdMillis
@@ -156,8 +215,8 @@
 	if !ok {
 		return false
 	}
-	// ColdMillis counts down while a target warms up. Only the start, the end or an increase
-	// is committed; Announce finds an increase that is still below what is stored.
+	// ColdMillis counts down while a target warms up. Only the start, the end or a later end
+	// is committed; recordAnnouncement finds a later end whose time is still below what is stored.
 	warming := t.ColdMillis > 0 && t.ColdMillis <= committed.ColdMillis
 	if warming {
 		committed.ColdMillis = t.ColdMillis
--- a/internal/server/registry_test.go
+++ b/internal/server/registry_test.go
@@ -225,7 +225,7 @@
 	const start, interval = 1_764_800_000_000, 100
 	for _, sequence := range []uint64{0, 1, minGoneSequence - 1, minGoneSequence, minGoneSequence + 1, 1 << 30, model.MaxSequence} {
 		x := target(start, model.TargetReady)
-		r.recordAnnouncement(x, sequence)
+		r.recordAnnouncement(nil, x, sequence, 0)
 		announced, gone := revision(start, sequence), r.goneRevision(nil, x)
 		assert.Assert(t, announced < revision(start, sequence+1))
 		assert.Assert(t, announced < gone, "sequence %d", sequence)
@@ -355,7 +355,7 @@
 	defer cancel()
 	assert.NilError(t, s.Announce(ctx, cold(3000), 1))
 	assert.NilError(t, s.Announce(ctx, cold(1500), 2))
-	assert.Assert(t, s.registry.recordAnnouncement(cold(2600), 3), "the increase is not found")
+	assert.Assert(t, s.registry.recordAnnouncement(s.o.Node.Machine().Object(model.ObjectTarget, "t"), cold(2600), 3, s.now()) != "", "the increase is not found")
 	assert.NilError(t, s.Announce(ctx, cold(1100), 4))
 	got, _ := state.ApplyDelta(nil, s.o.Node.Machine().Delta(0)).Targets.Get("t")
 	assert.Equal(t, got.ColdMillis, model.Millis(1100))
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -118,11 +118,13 @@
 	fences      fences
 	formats     formats
 	g           *group.Group
+	// now is the replica's clock; tests replace it.
+	now func() time.Duration
 }
 
 // New returns a server for a replica.
 func New(o Options) (*Server, error) {
-	s := &Server{o: o, e: echo.New(), newEvidence: make(chan struct{}, 1), batches: batcher{pending: make(chan struct{}, 1)}}
+	s := &Server{o: o, now: o.Node.Now, e: echo.New(), newEvidence: make(chan struct{}, 1), batches: batcher{pending: make(chan struct{}, 1)}}
 	s.refresh()
 	s.routes()
 	s.g = group.New(context.Background())
@@ -165,6 +167,20 @@
 	return c.NoContent(http.StatusOK)
 }
 
+// Metrics counts the commits of cold times of targets that were warming up: ColdAgain those that became
+// cold again, ColdUnknown those whose former announcement this replica had not received.
+type Metrics struct {
+	ColdAgain   int64 `json:"coldAgain"`
+	ColdUnknown int64 `json:"coldUnknown"`
+}
+
+// Metrics returns the counts since the start of the replica.
+func (s *Server) Metrics() Metrics {
+	s.registry.mu.Lock()
+	defer s.registry.mu.Unlock()
+	return Metrics{ColdAgain: s.registry.coldAgain, ColdUnknown: s.registry.coldUnknown}
+}
+
 // catalogueVersion returns the version of the last catalogue built, or 0 before the first.
 func (s *Server) catalogueVersion() model.Version {
 	if s.catalogue == nil {
--- a/pkg/model/delta.go
+++ b/pkg/model/delta.go
@@ -215,7 +215,7 @@
 }
 
 func decodeTarget(o Object) (Target, error) {
-	x := Target{ID: TargetID(o.Name)}
+	x := Target{ID: TargetID(o.Name), Version: o.Version}
 	if err := decode(o, &x); err != nil {
 		return x, fmt.Errorf("target: %w", err)
 	}
--- a/pkg/model/routing.go
+++ b/pkg/model/routing.go
@@ -103,6 +103,8 @@
 	Incarnation uint64 `json:"incarnation"`
 	// ColdMillis is how long the target remains cold after the announcement.
 	ColdMillis Millis `json:"coldMillis,omitempty"`
+	// Version is the catalogue version at which the record was written.
+	Version Version `json:"-"`
 }
 
 // check validates the routing and the references between its parts.
--- a/pkg/model/target.go
+++ b/pkg/model/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 )
@@ -16,6 +17,9 @@
 	// MaxSequence is the highest sequence number: that of a target that announces itself ten times
 	// a second for 13 years.
 	MaxSequence = 1 << 32
+	// AnnouncementDelay is an allowance for the delay of an announcement on its way from the target to a
+	// VM that sends requests: a target counts as cold for that much longer.
+	AnnouncementDelay = 500 * time.Millisecond
 )
 
 // CheckSequence returns an error if a sequence number is out of range.
