Send nothing for callers that have left, also at the VM that relays

Cause: askRelay detached the call from the caller, so that a request that was sent runs to its end. What still waits at the other entry was detached as well, and nothing told that entry.

Excluded: the asking entry's own queue, retries of the relaying one.

Change: the message Hop.Cancel ends a call at the relaying entry, up to the send. All calls outlive their caller, so that callers that leave cost no connections between entries. Both interfaces look for the caller directly before the first byte, also after a dial or a claim. A relay that sent nothing for a caller that left says REFUSED instead of unknown.

The relaying entry is the one that knows whether a request was sent, and it gets the end of the caller through the same context as its own callers'.

--- a/internal/entry/guard_test.go
+++ b/internal/entry/guard_test.go
@@ -148,6 +148,13 @@
 	t.Helper()
 	x, err := New(Options{ID: "v", Addr: "127.0.0.1:1", Domain: "a-1", Replicas: []string{"127.0.0.1:1"}, Key: auth.NewKey("k"), Log: log.NewNopLogger()})
 	assert.NilError(t, err)
+	ownTarget(t, x, target)
+	return x
+}
+
+// ownTarget makes an entry the owner of a target.
+func ownTarget(t *testing.T, x *Entry, target string) {
+	t.Helper()
 	// The renewals would withdraw the targets, as there is no leader.
 	assert.NilError(t, x.g.Close())
 	x.lease.mu.Lock()
@@ -156,5 +163,4 @@
 	own := pool.Target{ID: "t", Addr: target, Domain: "a-1", Slots: 1, Incarnation: 1, Ready: true, AnnouncedAt: x.now()}
 	x.pools.setOwned(map[model.ServiceID][]pool.Target{"s": {own}})
 	x.pools.get("s").Update(own)
-	return x
 }
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -32,6 +32,8 @@
 	domain  model.FailureDomainID
 	shifted bool
 	permit  *permit
+	// left, if not nil, returns an error once the caller has left.
+	left func() error
 }
 
 // serveAsOwner takes a slot of a target that this entry owns and dispatches the request to it.
@@ -63,6 +65,7 @@
 // admit enters the queue of the pool, waits for a slot and dispatches the request.
 func (x *Entry) admit(ctx context.Context, j *job, a ownerArgs, q pool.Request, arrivedAt time.Duration) tryResult {
 	p := x.pools.get(j.service)
+	a.left = ctx.Err
 	t, err := p.Admit(q)
 	if err != nil {
 		return refusedBy(p, err)
@@ -91,7 +94,7 @@
 // mayDispatch checks, directly before a dispatch, the conditions that may have changed
 // since the request was admitted.
 func (x *Entry) mayDispatch(j *job, s *pool.Slot, a ownerArgs, arrivedAt time.Duration) error {
-	if err := x.maySend(j, s); err != nil || !a.shifted {
+	if err := x.maySend(j, s, a); err != nil || !a.shifted {
 		return err
 	}
 	now := x.now()
@@ -106,9 +109,11 @@
 	return nil
 }
 
-// maySend checks, directly before a send, the lease, the target and the deadline.
-func (x *Entry) maySend(j *job, s *pool.Slot) error {
+// maySend checks, directly before a send, the caller, the lease, the target and the deadline.
+func (x *Entry) maySend(j *job, s *pool.Slot, a ownerArgs) error {
 	switch {
+	case a.left != nil && a.left() != nil:
+		return errors.New("the caller has gone")
 	case !x.leaseValid():
 		return errors.New("the lease of the owner is over")
 	case !s.Usable():
@@ -122,7 +127,7 @@
 // dispatch sends the request to the target and reads its whole answer.
 func (x *Entry) dispatch(ctx context.Context, j *job, s *pool.Slot, a ownerArgs) tryResult {
 	start := x.now()
-	r, res := x.exchange(ctx, j, s, a.permit)
+	r, res := x.exchange(ctx, j, s, a)
 	r.target = s.Target().ID
 	if res == pool.Failed && ctx.Err() != nil {
 		res = pool.Cancelled
@@ -131,8 +136,8 @@
 	return r
 }
 
-func (x *Entry) exchange(ctx context.Context, j *job, s *pool.Slot, p *permit) (tryResult, pool.Result) {
-	t, g := s.Target(), &sendGuard{check: func() error { return x.maySend(j, s) }}
+func (x *Entry) exchange(ctx context.Context, j *job, s *pool.Slot, a ownerArgs) (tryResult, pool.Result) {
+	t, g := s.Target(), &sendGuard{check: func() error { return x.maySend(j, s, a) }}
 	ctx = g.attach(ctx)
 	q, err := http.NewRequestWithContext(ctx, j.method, "http://"+t.Addr+j.path, bytes.NewReader(j.body))
 	if err != nil {
@@ -162,7 +167,7 @@
 		}
 		return refused(x.pools.get(j.service).EstimatedWait(), "target %q sheds load", t.ID), pool.Shed
 	}
-	b, err := x.whole(ctx, j, res, p)
+	b, err := x.whole(ctx, j, res, a.permit)
 	if err != nil {
 		return broken("target %q: %v", t.ID, err), pool.Failed
 	}
--- a/internal/proxy/dispatch.go
+++ b/internal/proxy/dispatch.go
@@ -278,6 +278,9 @@
 			if reason := p.permit(j, t); reason != "" {
 				return reason
 			}
+			if j.request.hasLeft() {
+				return reasonCallerLeft // It left while the connection was established.
+			}
 			if !reservation.use(p.now()) {
 				return reasonNotAccepting
 			}
--- a/internal/proxy/hop.go
+++ b/internal/proxy/hop.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -18,7 +17,6 @@
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log/level"
 	"github.com/twitchtv/twirp"
-	"google.golang.org/protobuf/proto"
 )
 
 // A VM that is cut off from all targets relays its callers' requests through another VM. The request
@@ -80,7 +78,9 @@
 	// last asked.
 	relayed int
 	asked   map[model.VMID]time.Duration
-	counts  HopCounts
+	// calls cancels the requests that this VM relays.
+	calls  map[hopCall]context.CancelFunc
+	counts HopCounts
 }
 
 // HopCounts counts relayed requests.
@@ -89,12 +89,17 @@
 	// answers that they could not.
 	Sent        int64 `json:"sent"`
 	Unavailable int64 `json:"unavailable"`
-	// Relayed is the number of requests that this VM relayed for others.
-	Relayed int64 `json:"relayed"`
+	// Relayed is the number of requests that this VM relayed for others, Cancelled that of those whose
+	// caller left meanwhile.
+	Relayed   int64 `json:"relayed"`
+	Cancelled int64 `json:"cancelled"`
 }
 
 func newHops(o Options) *hops {
-	h := &hops{inFlight: map[model.VMID]int{}, pausedUntil: map[model.VMID]time.Duration{}, asked: map[model.VMID]time.Duration{}}
+	h := &hops{
+		inFlight: map[model.VMID]int{}, pausedUntil: map[model.VMID]time.Duration{}, asked: map[model.VMID]time.Duration{},
+		calls: map[hopCall]context.CancelFunc{},
+	}
 	if o.Hop.Dial != nil && o.Key != nil {
 		h.client = &http.Client{Transport: o.Key.Transport(&http.Transport{
 			DialContext: o.Hop.Dial, DisableCompression: true, MaxIdleConnsPerHost: maxHopIdleConns, IdleConnTimeout: time.Minute,
@@ -171,6 +176,10 @@
 		if q.state.remaining <= 0 {
 			break
 		}
+		if q.hasLeft() {
+			q.outcome, q.reason = callerLeft, reasonCallerLeft
+			return response{noReply: true}
+		}
 		x, ok := p.acquireHelper(q, tried)
 		if !ok {
 			break
@@ -178,8 +187,9 @@
 		tried[x.ID] = true
 		r, err := p.askRelay(q, x)
 		p.hops.release(x.ID)
-		if q.r.Context().Err() != nil && r.GetOutcome() != eelpb.RelayOutcome_RESPONDED {
-			q.outcome, q.reason = callerLeft, "the caller has gone"
+		if q.hasLeft() && r.GetOutcome() != eelpb.RelayOutcome_RESPONDED {
+			q.state.possiblyRun = q.state.possiblyRun || mayHaveRun(r, err)
+			q.outcome, q.reason = callerLeft, reasonCallerLeft
 			return response{noReply: true}
 		}
 		q.via = x.ID
@@ -226,41 +236,6 @@
 	return q.refusal(reason, in)
 }
 
-// askRelay asks a VM to relay a request.
-func (p *Proxy) askRelay(q *request, x wire.Entry) (*eelpb.RelayReply, error) {
-	m := &eelpb.RelayRequest{
-		Vm: string(p.o.Hop.Self), Id: q.id, Method: q.r.Method, Uri: q.r.RequestURI, Host: q.r.Host, Body: bytes.Join(q.body, nil),
-		MaxSends: uint32(max(1, q.state.maxSends-q.state.sent)), RemainingMs: q.state.remaining.Milliseconds(), OverrunMs: q.overrun.Milliseconds(),
-		RoutingRevision: proto.Uint64(uint64(q.revision)), Fresh: p.o.Cluster.Fresh(),
-	}
-	h := endToEnd(q.r.Header)
-	if q.access.keyRequired {
-		// The key of a caller does not leave the VM that the caller is connected to.
-		h.Del(p.o.Headers.Authorization)
-	}
-	if q.access.authenticated {
-		m.Workspace = string(q.access.workspace.Name)
-	}
-	m.Headers = encodeHeaders(h)
-	ctx := q.r.Context()
-	if q.state.delivery == model.AtMostOnce {
-		ctx = context.WithoutCancel(ctx)
-	}
-	ctx, cancel := context.WithTimeout(ctx, q.state.remaining+q.overrun+lateResponseTimeout+hopMargin)
-	defer cancel()
-	reply := &memoryReservation{pool: p.responseMemory}
-	r, err := eelpb.NewHopProtobufClient("http://"+x.Addr, hopClient{p.hops.client, reply}).Relay(ctx, m)
-	if err == nil && r.Id != q.id {
-		err = errors.New("the reply is for another request")
-	}
-	if err != nil {
-		reply.release()
-		return r, err
-	}
-	q.reservation.reserved += reply.reserved
-	return r, nil
-}
-
 // hopClient is an HTTP client whose response bodies take memory from a reservation, since the Twirp client reads them
 // whole.
 type hopClient struct {
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -179,7 +179,7 @@
 		}
 		select {
 		case <-q.r.Context().Done():
-			q.outcome, q.reason = callerLeft, "the caller has gone"
+			q.outcome, q.reason = callerLeft, reasonCallerLeft
 			return done, response{noReply: true}, false
 		case <-t.C:
 		}
--- a/internal/proxy/relayed.go
+++ b/internal/proxy/relayed.go
@@ -30,6 +30,8 @@
 		return &eelpb.RelayReply{Id: m.Id, Outcome: eelpb.RelayOutcome_UNAVAILABLE, Reason: "cut off, stopping or busy"}, nil
 	}
 	defer p.hops.end()
+	ctx, done := p.hops.track(ctx, hopCall{model.VMID(m.Vm), m.Call})
+	defer done()
 	p.metrics.inFlight.Add(1)
 	defer p.metrics.inFlight.Add(-1)
 	r := (&http.Request{
@@ -128,6 +130,8 @@
 		if q.cannotRelay {
 			r.Outcome, r.Newer = eelpb.RelayOutcome_UNAVAILABLE, q.hasNewerRouting
 		}
+	case a.noReply && !q.state.possiblyRun:
+		r.Outcome = eelpb.RelayOutcome_REFUSED
 	case a.isLocal && a.status == http.StatusGatewayTimeout:
 		r.Outcome = eelpb.RelayOutcome_LATE
 	}
--- a/internal/proxy/serve.go
+++ b/internal/proxy/serve.go
@@ -339,8 +339,8 @@
 
 // sendTo sends a request to one target and waits for its response.
 func (p *Proxy) sendTo(q *request, c *model.Catalogue, t *target, spillover bool) result {
-	if q.r.Context().Err() != nil {
-		return result{outcome: callerLeft, reason: "the caller has gone"}
+	if q.hasLeft() {
+		return result{outcome: callerLeft, reason: reasonCallerLeft}
 	}
 	r := p.dispatch(q.r.Context(), c, &job{
 		request: q,
@@ -348,8 +348,9 @@
 		target: t.id, route: q.route.Name, delivery: q.route.Delivery, priority: q.priority(), access: q.access,
 		objective: q.route.ObjectiveMillis.Duration(), start: q.start, deadline: q.deadline, overrun: q.overrun, key: q.key, hasAffinity: q.hasAffinity(), reservation: &q.reservation, spillover: spillover,
 	}, t)
-	if q.r.Context().Err() != nil && r.outcome != responded {
-		return result{outcome: callerLeft, reason: "the caller has gone"}
+	if q.hasLeft() && r.outcome != responded {
+		q.state.possiblyRun = q.state.possiblyRun || r.outcome == unknown || r.outcome == timedOut
+		return result{outcome: callerLeft, reason: reasonCallerLeft}
 	}
 	return r
 }
