Take no status that no response can have for an answer

Callers saw: where a target answered with status 000, 001, 099, 101 or an interim status with a body, 504 at the deadline, though the broken answer was there after a millisecond. On the own interface the connection broke, since the entry panicked when it wrote the status. The client library reported "answered" with status 0.

Cause: HTTP libraries return any three digits. The routes' path took all below 200 for interim responses, the other paths took any for a final one.

Excluded: statuses with a sign or fewer digits, which come out below 100.

Change: internal/reply says which status a response can have, for targets on both interfaces, relayed replies, forwarded and stored answers, replies of replicas and the client library. 600 to 999 stay passed on: a target's status is returned unchanged, and clients treat them like 5xx (RFC 9110).

What is no response is a failure at once, like other bytes that are none, so a request that may run again gets another target and the outcome of others is unknown.

--- a/internal/entry/api.go
+++ b/internal/entry/api.go
@@ -13,6 +13,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/burn"
 	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/labstack/echo/v4"
@@ -241,5 +242,13 @@
 		return nil, err
 	}
 	q.Header.Set("Authorization", r.Header.Get("Authorization"))
-	return x.state.httpClient.Do(q)
+	res, err := x.state.httpClient.Do(q)
+	if err != nil {
+		return nil, err
+	}
+	if err := reply.Check(res.StatusCode); err != nil {
+		res.Body.Close()
+		return nil, err
+	}
+	return res, nil
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -7,6 +7,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
 	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/internal/state"
 	"github.com/go-kit/log/level"
 )
@@ -168,6 +169,9 @@
 	if a.GetTruncated() {
 		return broken("the request ran; its answer was too large to be kept")
 	}
+	if err := reply.Check(int(a.GetStatus())); err != nil {
+		return broken("stored answer: %v", err)
+	}
 	w := &answer{status: int(a.GetStatus()), contentType: a.GetContentType(), body: a.GetBody()}
 	return tryResult{kind: resultAnswered, answer: w}
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/probe"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/internal/steer"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
@@ -115,6 +116,9 @@
 		if err != nil {
 			return broken("owner answered without a status")
 		}
+		if err := reply.Check(n); err != nil {
+			return broken("answer of owner: %v", err)
+		}
 		v.answer = &answer{status: n, contentType: res.Header.Get("Content-Type"), body: b}
 		return v
 	}
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 )
 
@@ -28,14 +31,17 @@
 // come from guardedDialer. The HTTP client may resend a request on another connection; each send is
 // checked.
 func (g *sendGuard) attach(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		g.mu.Lock()
-		g.reused = i.Reused
-		g.mu.Unlock()
-		if c, ok := i.Conn.(*guardedConn); ok {
-			c.guard.Store(g)
-		}
-	}})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(i httptrace.GotConnInfo) {
+			g.mu.Lock()
+			g.reused = i.Reused
+			g.mu.Unlock()
+			if c, ok := i.Conn.(*guardedConn); ok {
+				c.guard.Store(g)
+			}
+		},
+		Got1xxResponse: func(status int, h textproto.MIMEHeader) error { return reply.CheckInterim(status, http.Header(h)) },
+	})
 }
 
 // rejected returns why the request was not sent, or nil if it may have been. It is valid once the
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -12,6 +12,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/pool"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
@@ -161,6 +162,9 @@
 		return broken("target %q: %v", t.ID, err), pool.Failed
 	}
 	defer res.Body.Close()
+	if err := reply.Check(res.StatusCode); err != nil {
+		return broken("target %q: %v", t.ID, err), pool.Failed
+	}
 	if res.StatusCode == http.StatusServiceUnavailable && res.Header.Get(wire.HeaderShed) != "" {
 		if !isShedOf(j, res, g.isReused()) {
 			return broken("target %q sheds another request", t.ID), pool.Failed
--- a/internal/proxy/hopcall.go
+++ b/internal/proxy/hopcall.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/eelgrassroad/eelgrassroad/internal/eelpb"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 	"github.com/go-kit/log/level"
@@ -66,16 +67,19 @@
 		}
 	})
 	defer stop()
-	reply := &memoryReservation{pool: p.responseMemory}
-	r, err := eelpb.NewHopProtobufClient("http://"+x.Addr, hopClient{p.hops.client, reply}).Relay(traced, m)
+	memory := &memoryReservation{pool: p.responseMemory}
+	r, err := eelpb.NewHopProtobufClient("http://"+x.Addr, hopClient{p.hops.client, memory}).Relay(traced, m)
 	if err == nil && r.Id != q.id {
 		err = errors.New("the reply is for another request")
 	}
+	if err == nil && r.Outcome == eelpb.RelayOutcome_RESPONDED {
+		err = reply.Check(int(r.Status))
+	}
 	if err != nil {
-		reply.release()
+		memory.release()
 		return r, err
 	}
-	q.reservation.reserved += reply.reserved
+	q.reservation.reserved += memory.reserved
 	return r, nil
 }
 
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"golang.org/x/sync/semaphore"
 )
 
@@ -154,8 +155,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if a.StatusCode >= http.StatusOK {
-			return a, nil
+		if !reply.IsInterim(a.StatusCode) {
+			return a, reply.Check(a.StatusCode)
+		}
+		if len(a.TransferEncoding) > 0 {
+			a.Header.Set("Transfer-Encoding", a.TransferEncoding[0]) // The library removes it.
+		}
+		if err := reply.CheckInterim(a.StatusCode, a.Header); err != nil {
+			return nil, err
 		}
 	}
 	return nil, errHeadTooLong
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -26,6 +26,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/errs"
 	"github.com/eelgrassroad/eelgrassroad/internal/probe"
+	"github.com/eelgrassroad/eelgrassroad/internal/reply"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/pkg/wire"
 )
@@ -217,6 +218,9 @@
 		return Answer{}, err
 	}
 	defer res.Body.Close()
+	if err := reply.Check(res.StatusCode); err != nil {
+		return Answer{}, err
+	}
 	b, err := io.ReadAll(res.Body)
 	if err != nil {
 		return Answer{}, err
--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -125,3 +125,34 @@
 		})
 	}
 }
+
+// An entry's response with a status that none can have, such as 000, is no answer: the next entry is asked, and the
+// outcome is unknown if there is none.
+func TestStatusOfNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		var addrs []string
+		broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if !assert.Check(t, err == nil) {
+				return
+			}
+			defer c.Close()
+			fmt.Fprintf(c, "HTTP/1.1 %s x\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, wire.HeaderOutcome, wire.Answered)
+		}))
+		healthy := entryServer(t, func() []string { return addrs })
+		t.Cleanup(broken.Close)
+		for _, next := range []bool{false, true} {
+			addrs = []string{broken.Listener.Addr().String()}
+			want := wire.Unknown
+			if next {
+				addrs, want = append(addrs, healthy.Listener.Addr().String()), wire.Answered
+			}
+			c := New(Options{Entries: []string{healthy.Listener.Addr().String()}})
+			a, err := c.Do(context.Background(), Request{Service: "s", Class: "c", Path: "/"})
+			c.Close()
+			assert.NilError(t, err)
+			assert.Equal(t, a.Outcome, want, "%s: %s", status, a.Reason)
+			assert.Equal(t, a.Status == http.StatusOK, next, status)
+		}
+	}
+}
