Keep the idle timeout of the routing, and a reserve of descriptors

Cause: the servers closed idle connections after two minutes. The limits idle_timeout and header_timeout of the routing were read nowhere, and no bound on connections followed from the descriptors.

Excluded: a leak; connections to targets.

Change: drain.NewBounded ends connections that are idle for longer than the limit in force, and the longest idle ones beyond a part of the descriptors, as a planned stop does, so that no request that was read is cut. Without a descriptor for a new connection an entry is not ready. eelentry, whose connections stayed for good, has the same bounds.

TestPlannedStopCutsNoRequest uses the server that clients get now.

An idle connection stays at most a second longer than the limit, so that their number follows from the rate, and beyond half of the descriptors from these.

--- a/cmd/eelentry/main.go
+++ b/cmd/eelentry/main.go
@@ -78,7 +78,15 @@
 	)
 }
 
+// connsDivisor sets the part of the descriptors beyond which the longest idle connections are closed early. The others
+// are for targets, entries and replicas.
+const connsDivisor = 2
+
 func run(o options, l log.Logger) error {
+	files, err := setup.MaxFiles()
+	if err != nil {
+		return err
+	}
 	lis, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return fmt.Errorf("--listen: %w", err)
@@ -93,7 +101,8 @@
 	expvar.Publish(program, expvar.Func(func() any { return x.Metrics() }))
 	ctx, cancel := setup.SignalContext()
 	defer cancel()
-	h := drain.New(setup.HTTPServer(x.Handler()))
+	bounds := drain.Bounds{Idle: setup.IdleTimeout, Head: setup.ReadHeaderTimeout, Conns: files / connsDivisor}
+	h := drain.NewBounded(setup.HTTPServer(x.Handler()), func() drain.Bounds { return bounds })
 	failed := make(chan error, 1)
 	go func() { failed <- h.Serve(lis) }()
 	level.Info(l).Log("msg", "listening", "addr", lis.Addr())
--- a/cmd/eelplat/daemon.go
+++ b/cmd/eelplat/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -18,6 +19,7 @@
 	"github.com/eelgrassroad/eelgrassroad/internal/auth"
 	"github.com/eelgrassroad/eelgrassroad/internal/drain"
 	"github.com/eelgrassroad/eelgrassroad/internal/setup"
+	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/platform"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -26,8 +28,6 @@
 const (
 	// settingsPollInterval is the interval at which the settings file is checked for changes.
 	settingsPollInterval = time.Second
-	// idleTimeout is longer than any client keeps an idle connection for reuse.
-	idleTimeout = 2 * time.Minute
 	// memoryLimitDivisor sets the part of the memory limit that the garbage collector keeps
 	// free: 1/memoryLimitDivisor.
 	memoryLimitDivisor = 4
@@ -105,6 +105,24 @@
 
 // serve starts a server for a handler at an address; it runs until the daemon stops.
 func (d *daemon) serve(name, addr string, h http.Handler) error {
+	o := setup.HTTPServer(h)
+	o.IdleTimeout = setup.IdleTimeout
+	return d.start(name, addr, drain.New(o))
+}
+
+// serveClients starts a server whose connections keep to the limits of the routing in force, and to a part of the
+// process's descriptors.
+func (d *daemon) serveClients(name, addr string, h http.Handler, maxConns int, limits func() model.RequestLimits) (*drain.Server, error) {
+	s := drain.NewBounded(setup.HTTPServer(h), func() drain.Bounds {
+		l := limits()
+		return drain.Bounds{
+			Idle: cmp.Or(l.IdleTimeoutMillis.Duration(), setup.IdleTimeout), Head: cmp.Or(l.HeaderTimeoutMillis.Duration(), setup.ReadHeaderTimeout), Conns: maxConns,
+		}
+	})
+	return s, d.start(name, addr, s)
+}
+
+func (d *daemon) start(name, addr string, s *drain.Server) error {
 	at, err := shiftPort(addr, d.o.ListenShift)
 	if err != nil {
 		return err
@@ -113,9 +131,6 @@
 	if err != nil {
 		return err
 	}
-	o := setup.HTTPServer(h)
-	o.IdleTimeout = idleTimeout
-	s := drain.New(o)
 	d.servers = append(d.servers, s)
 	level.Info(d.l).Log("msg", "listening", "for", name, "addr", at)
 	go func() {
--- a/cmd/eelplat/entry.go
+++ b/cmd/eelplat/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/eelgrassroad/eelgrassroad/internal/entry"
 	"github.com/eelgrassroad/eelgrassroad/internal/proxy"
+	"github.com/eelgrassroad/eelgrassroad/internal/setup"
 	"github.com/eelgrassroad/eelgrassroad/pkg/model"
 	"github.com/eelgrassroad/eelgrassroad/platform"
 	"github.com/go-kit/log/level"
@@ -48,6 +49,10 @@
 	// maxBodyFraction is the part of the memory limit that large request bodies may use: one of
 	// 64 MiB fits into that of a VM with 184 MB.
 	maxBodyFraction = 0.375
+	// clientConnsDivisor and directoryConnsDivisor set the parts of the descriptors beyond which the longest idle
+	// connections of clients are closed early. The others are for targets, entries and replicas.
+	clientConnsDivisor    = 2
+	directoryConnsDivisor = 4
 )
 
 func runEntry(d *daemon) error {
@@ -84,13 +89,21 @@
 	if err := d.serve("entries", s.Internal, internal); err != nil {
 		return err
 	}
-	if err := d.serve("readiness", s.Ready, platform.Ready(f.Ready)); err != nil {
+	files, err := setup.MaxFiles()
+	if err != nil {
+		return err
+	}
+	limits := func() model.RequestLimits { return requestLimits(x.Catalogue()) }
+	directory, err := d.serveClients("directory", s.Directory, platform.Directory(s, x), files/directoryConnsDivisor, limits)
+	if err != nil {
 		return err
 	}
-	if err := d.serve("directory", s.Directory, platform.Directory(s, x)); err != nil {
+	clients, err := d.serveClients("clients", s.Proxy, f, files/clientConnsDivisor, limits)
+	if err != nil {
 		return err
 	}
-	if err := d.serve("clients", s.Proxy, f); err != nil {
+	ready := func() bool { return f.Ready() && !clients.IsFull() && !directory.IsFull() }
+	if err := d.serve("readiness", s.Ready, platform.Ready(ready)); err != nil {
 		return err
 	}
 	err = d.wait(nil, func(s *platform.Settings) { x.AddReplicas(s.Seeds) })
@@ -98,6 +111,14 @@
 	return errors.Join(err, f.Close(), x.Close())
 }
 
+// requestLimits returns the limits of the routing, or none before there is one.
+func requestLimits(c *model.Catalogue) model.RequestLimits {
+	if c == nil || c.Routing == nil {
+		return model.RequestLimits{}
+	}
+	return c.Routing.Limits
+}
+
 type entryMetrics struct {
 	Entry entry.Metrics `json:"entry"`
 	Proxy proxy.Metrics `json:"front"`
--- a/cmd/eelplat/stop_test.go
+++ b/cmd/eelplat/stop_test.go
@@ -103,7 +103,8 @@
 			assert.NilError(t, err)
 			addr := lis.Addr().String()
 			assert.NilError(t, lis.Close())
-			assert.NilError(t, d.serve("clients", addr, f))
+			_, err = d.serveClients("clients", addr, f, 0, func() model.RequestLimits { return requestLimits(c.Catalogue()) })
+			assert.NilError(t, err)
 			var g sync.WaitGroup
 			var answered, cut, closed int
 			stopped := make(chan struct{})
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -11,6 +11,8 @@
 //	s := drain.New(&http.Server{Handler: h})
 //	go s.Serve(listener)
 //	err := s.Stop(ctx)
+//
+// NewBounded bounds what idle connections take, in the same way.
 package drain
 
 import (
@@ -55,11 +57,18 @@
 	lastAccept time.Time
 	stopping   bool
 	conns      map[*conn]time.Time
+	fullUntil  time.Time
+
+	// maxConns returns the number of connections from which on crowded is sent to.
+	maxConns func() int
+	crowded  chan struct{}
+	// stop is closed by Stop.
+	stop chan struct{}
 }
 
 // New returns a server that serves with h. It sets h.ConnState.
 func New(h *http.Server) *Server {
-	s := &Server{h: h, conns: map[*conn]time.Time{}}
+	s := &Server{h: h, conns: map[*conn]time.Time{}, maxConns: func() int { return 0 }, crowded: make(chan struct{}, 1), stop: make(chan struct{})}
 	h.ConnState = s.setState
 	return s
 }
@@ -106,6 +115,9 @@
 func (s *Server) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.stopping {
+		close(s.stop)
+	}
 	s.stopping = true
 	s.lastAccept = time.Now()
 }
@@ -177,13 +189,11 @@
 // Accept accepts a connection and records the time.
 func (l *listener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
+	l.s.noteAccept(err)
 	if err != nil {
 		return nil, err
 	}
-	l.s.mu.Lock()
-	l.s.lastAccept = time.Now()
-	l.s.mu.Unlock()
-	return &conn{Conn: n, state: http.StateNew}, nil
+	return &conn{Conn: n, state: http.StateNew, since: time.Now()}, nil
 }
 
 // conn is a connection whose reader decides whether it is idle.
@@ -194,7 +204,9 @@
 	state http.ConnState
 	// hasInput is set if bytes were read since the last answer.
 	hasInput bool
-	retired  bool
+	// since is when the connection was accepted, its last answer was sent, or the first bytes after that were read.
+	since   time.Time
+	retired bool
 }
 
 // pastDeadline is a deadline in the past, which unblocks a reader.
@@ -207,11 +219,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if n > 0 {
+		if !c.hasInput {
+			c.since = time.Now()
+		}
 		c.hasInput = true
 		c.cancelRetire()
 		return n, err
 	}
-	if c.retired && errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.retired && !c.hasInput && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF
 	}
 	return n, err
@@ -253,7 +268,7 @@
 	c.state = st
 	switch st {
 	case http.StateIdle:
-		c.hasInput = false
+		c.hasInput, c.since = false, time.Now()
 	case http.StateActive:
 		// A request that was read together with the previous one needs no further read.
 		c.cancelRetire()
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -17,6 +17,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -156,7 +157,20 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 }
 
-const readHeaderTimeout = 10 * time.Second
+// ReadHeaderTimeout is how long the head of a request may take.
+const ReadHeaderTimeout = 10 * time.Second
+
+// IdleTimeout is how long a connection may stay idle.
+const IdleTimeout = 2 * time.Minute
+
+// MaxFiles returns the number of descriptors that the process may have.
+func MaxFiles() (int, error) {
+	var l syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+		return 0, err
+	}
+	return int(min(l.Cur, math.MaxInt32)), nil
+}
 
 // Network has the settings of a daemon's addresses.
 type Network struct {
@@ -195,5 +209,5 @@
 
 // HTTPServer returns a server with the project's read header timeout.
 func HTTPServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, ReadHeaderTimeout: ReadHeaderTimeout}
 }
