Keep the former list of VMs until a new leader has heard them

Cause: entries divide a limit by the number of entries that the leader lists. The list of a new leader begins empty, so the first entry that renewed took the whole limit, the second one half of it.

Excluded: the counts within a window and the limit itself, which are kept.

Change: an entry keeps the VMs of the former list for a lease after the first list of a new leader, without the targets that they owned.

A new leader has heard each living VM after a lease, so that until then the union of both lists has all of them, and later its own.

--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -228,6 +228,9 @@
 	mu       sync.RWMutex
 	revision uint64
 	vms      map[string]steer.Report
+	// inherited has the VMs that only the former leader listed, and until when they are kept: the list of a new one
+	// begins empty, and each VM is on it from its next renewal on.
+	inherited map[string]time.Duration
 }
 
 func (d *directory) version() uint64 {
@@ -239,10 +242,20 @@
 func (d *directory) apply(r *eelpb.RenewReply, now time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old := d.vms
-	d.vms = map[string]steer.Report{}
-	if !r.DirectoryFull {
-		for id, v := range old {
+	old, inherited := d.vms, d.inherited
+	d.vms, d.inherited = map[string]steer.Report{}, map[string]time.Duration{}
+	isNewLeader := lease.EpochOf(r.Directory) != lease.EpochOf(d.revision)
+	for id, v := range old {
+		until, ok := inherited[id]
+		if isNewLeader {
+			until, ok = now+time.Duration(r.LeaseMs)*time.Millisecond, true
+		}
+		switch {
+		case ok && now < until:
+			// It may own other targets by now, or none.
+			v.VM = &eelpb.VM{Id: v.VM.Id, Addr: v.VM.Addr, FailureDomain: v.VM.FailureDomain, Leaving: v.VM.Leaving, Version: v.VM.Version}
+			d.vms[id], d.inherited[id] = v, until
+		case !ok && !r.DirectoryFull:
 			// The leader states with the delta that the VMs it does not list are unchanged.
 			v.ReportedAt = now
 			d.vms[id] = v
@@ -253,6 +266,7 @@
 	}
 	for _, v := range r.Vms {
 		d.vms[v.Id] = steer.Report{VM: v, ReportedAt: now}
+		delete(d.inherited, v.Id)
 	}
 	d.revision = r.Directory
 }
--- a/internal/lease/dir.go
+++ b/internal/lease/dir.go
@@ -12,6 +12,9 @@
 // grants within an epoch; the higher bits hold the epoch.
 const counterBits = 32
 
+// EpochOf returns the epoch of a version of the directory. Each leader has its own.
+func EpochOf(version uint64) uint64 { return version >> counterBits }
+
 // maxRemovals is the maximum number of removals that are kept for deltas.
 const maxRemovals = 1024
 
