Take connections that are accepted and reset for a cut

Cause: a dial that succeeded proved the links, so the entry never found out that it was cut off.

Excluded: the interval of the probes, which run and find all accepted.

Change: a probe of the links keeps its connection for 50 ms, and a reset in that time counts like a refusal. The dialer of the tests reported the end of a read deadline as a reset; it reports what the network reports now.

A cut of this kind resets each connection that it accepts, a target without a request does not.

--- a/internal/links/links.go
+++ b/internal/links/links.go
@@ -59,8 +59,8 @@
 
 // Probe is the result of dialling some targets.
 type Probe struct {
-	// Dialled is the number of targets, Accepted and Refused that of those that accepted and refused
-	// the connection; the others did not respond in time.
+	// Dialled is the number of targets, Accepted that of those that accepted the connection, and Refused that
+	// of those that refused it, or reset it at once; the others did not respond in time.
 	Dialled, Accepted, Refused int
 }
 
--- a/internal/proxy/cutoff_test.go
+++ b/internal/proxy/cutoff_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -27,10 +28,12 @@
 	linksHangRefuse
 	// linksRefuse: open connections live on, and new ones are refused.
 	linksRefuse
+	// linksAcceptReset: connections are reset, and new ones are accepted and reset a moment later.
+	linksAcceptReset
 )
 
 func (m cutMode) String() string {
-	return [...]string{"up", "hang", "reset", "hang, new ones refused", "live on, new ones refused"}[m]
+	return [...]string{"up", "hang", "reset", "hang, new ones refused", "live on, new ones refused", "reset, new ones accepted and reset"}[m]
 }
 
 // switchedDialer connects to targets through links that can be cut.
@@ -56,7 +59,7 @@
 	d.mode = m
 	for c := range d.conns {
 		switch m {
-		case linksReset:
+		case linksReset, linksAcceptReset:
 			c.fail()
 		case linksHang, linksHangRefuse:
 			c.hang()
@@ -75,7 +78,7 @@
 		return nil, &net.OpError{Op: "dial", Net: network, Err: os.ErrDeadlineExceeded}
 	case linksReset, linksHangRefuse, linksRefuse:
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
-	case linksUp:
+	case linksUp, linksAcceptReset:
 	}
 	c, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, network, addr)
 	if err != nil {
@@ -85,6 +88,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.conns[x] = true
+	if d.mode == linksAcceptReset {
+		time.AfterFunc(resetTimeout/10, x.fail)
+	}
 	return x, nil
 }
 
@@ -120,7 +126,7 @@
 		select {
 		case <-c.hung:
 		default:
-			if r.err != nil {
+			if r.err != nil && !errors.Is(r.err, os.ErrDeadlineExceeded) {
 				select {
 				case <-c.closed:
 				default:
@@ -142,8 +148,12 @@
 	case <-c.hung:
 		return len(b), nil
 	default:
-		return c.Conn.Write(b)
 	}
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, net.ErrClosed) {
+		err = &net.OpError{Op: "write", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	return n, err
 }
 
 // Close closes the connection.
@@ -194,6 +204,7 @@
 		{linksReset, []int{0, 2}},
 		{linksHangRefuse, []int{0, 1}},
 		{linksRefuse, []int{0, 1}},
+		{linksAcceptReset, []int{0, 1}},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%v at %d VMs", tt.mode, len(tt.cut)), func(t *testing.T) {
@@ -265,7 +276,7 @@
 // target, and must find out all the same that the fault is its own: its callers are served through other VMs.
 func TestVMStartsCutOff(t *testing.T) {
 	const contact, length = 3 * time.Second, 5 * time.Second
-	for _, m := range []cutMode{linksHang, linksReset, linksRefuse} {
+	for _, m := range []cutMode{linksHang, linksReset, linksRefuse, linksAcceptReset} {
 		t.Run(m.String(), func(t *testing.T) {
 			t.Parallel()
 			d := newDeployment(t, 3, 8)
--- a/internal/proxy/ends.go
+++ b/internal/proxy/ends.go
@@ -126,7 +126,7 @@
 func (p *Proxy) refusesConnections(ctx context.Context, t *target) (refuses, accepts bool) {
 	hasLinks := false
 	for _, x := range p.registry.sample(maxWitnesses, t, func(x *target) bool { return !x.isEjected(p.now()) }) {
-		if hasLinks = x.conns.probe(ctx) == nil; hasLinks {
+		if hasLinks = x.conns.probeKept(ctx) == nil; hasLinks {
 			break
 		}
 	}
@@ -143,6 +143,26 @@
 	return x.Close()
 }
 
+// resetTimeout is how long a connection is watched for a reset after it was established. A cut may accept connections and
+// reset them; the reset takes as long as the acceptance did, and a moment more.
+const resetTimeout = 50 * time.Millisecond
+
+// probeKept establishes a connection, and fails if the connection is reset within resetTimeout.
+func (c *conns) probeKept(ctx context.Context) error {
+	x, err := c.dial(ctx, "tcp", c.addr)
+	if err != nil {
+		return err
+	}
+	defer x.Close()
+	if err := x.SetReadDeadline(time.Now().Add(resetTimeout)); err != nil {
+		return err
+	}
+	if _, err := x.Read(make([]byte, 1)); errors.Is(err, syscall.ECONNRESET) {
+		return err
+	}
+	return nil
+}
+
 // incarnation returns the incarnation of the target.
 func (t *target) incarnation() uint64 {
 	t.mu.Lock()
--- a/internal/proxy/links.go
+++ b/internal/proxy/links.go
@@ -84,7 +84,7 @@
 	var g sync.WaitGroup
 	for _, t := range list {
 		g.Go(func() {
-			switch err := t.conns.probe(ctx); {
+			switch err := t.conns.probeKept(ctx); {
 			case err == nil:
 				accepted.Add(1)
 			case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
