Permit the trials of suspected requests at the leader

Cause: a suspected request is sent now and then, since its outcome decides on it, and each entry decided by itself when.

Excluded: a late decision (it is suspected 4 s before), retries (a trial is one send).

Change: entries ask the leader with an early renewal; it permits one trial for all of them, and the next one when the end of a target would have been confirmed and reported, later each time. Leaders of an earlier build permit nothing, which entries see in the reply: they go on by themselves.

The leader knows all trials, since there is none without it.

--- a/internal/entry/evidence.go
+++ b/internal/entry/evidence.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -15,6 +16,12 @@
 	// maxPendingEnds and maxPendingWholes bound the reports that wait for a leader.
 	maxPendingEnds   = 256
 	maxPendingWholes = 1024
+	// maxPendingTrials bounds the suspected requests that this VM asks to send.
+	maxPendingTrials = 64
+	// trialAskInterval is the time between two renewals that ask for the same one.
+	trialAskInterval = 500 * time.Millisecond
+	// trialTTL is how long a permission holds. The leader permits the next trial later.
+	trialTTL = time.Second
 )
 
 // evidence holds what this VM observed of requests that may end targets, until a leader has it.
@@ -26,6 +33,18 @@
 	// dropped counts the ends that were dropped before this one, so that an acknowledgement removes
 	// the reports that it is for.
 	dropped int
+	trials  trials
+}
+
+// trials are the suspected requests that this VM would send, and may send.
+type trials struct {
+	// askedAt is when the leader was last asked, or is to be asked if wanted.
+	askedAt map[model.RequestDigest]time.Duration
+	wanted  []model.RequestDigest
+	// until is how long the leader's permission holds.
+	until map[model.RequestDigest]time.Duration
+	// free means that the leader is of an earlier build, which permits none.
+	free bool
 }
 
 type pendingEnd struct {
@@ -66,6 +85,48 @@
 	x.scheduleEvidence()
 }
 
+// Trial reports whether this VM may send a suspected request now, once. If not, it asks the leader.
+func (x *Entry) Trial(d model.RequestDigest) bool {
+	x.evidence.mu.Lock()
+	may, ask := x.evidence.trials.take(d, x.now())
+	x.evidence.mu.Unlock()
+	if ask {
+		x.scheduleEvidence()
+	}
+	return may
+}
+
+// take takes the permission for a request, or reports whether the leader is to be asked.
+func (t *trials) take(d model.RequestDigest, now time.Duration) (may, ask bool) {
+	until, ok := t.until[d]
+	delete(t.until, d)
+	if t.free || ok && now < until {
+		return true, false
+	}
+	maps.DeleteFunc(t.askedAt, func(_ model.RequestDigest, at time.Duration) bool { return now-at >= trialAskInterval })
+	if _, ok := t.askedAt[d]; ok || len(t.askedAt) >= maxPendingTrials {
+		return false, false
+	}
+	if t.askedAt == nil {
+		t.askedAt, t.until = map[model.RequestDigest]time.Duration{}, map[model.RequestDigest]time.Duration{}
+	}
+	t.askedAt[d] = now
+	t.wanted = append(t.wanted, d)
+	return false, true
+}
+
+// permitted records which of the wanted trials the leader permits.
+func (v *evidence) permitted(r *eelpb.RenewReply, now time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.trials.free = !r.PermitsTrials
+	for _, b := range r.Trials {
+		if len(b) == len(model.RequestDigest{}) && v.trials.until != nil {
+			v.trials.until[model.RequestDigest(b)] = now + trialTTL
+		}
+	}
+}
+
 // scheduleEvidence renews the lease early, so that the leader gets the reports.
 func (x *Entry) scheduleEvidence() {
 	v := &x.evidence
@@ -97,6 +158,10 @@
 		sent[d] = at
 		q.Wholes = append(q.Wholes, &eelpb.WholeResponse{Digest: d[:], AgeMs: uint64(max(0, now-at).Milliseconds())})
 	}
+	for _, d := range v.trials.wanted {
+		q.Trials = append(q.Trials, d[:])
+	}
+	v.trials.wanted = nil
 	last := v.dropped + len(v.ends)
 	return func() {
 		v.mu.Lock()
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -182,6 +182,7 @@
 	}
 	x.last.reply = r
 	x.limits.setShares(r.Shares)
+	x.evidence.permitted(r, x.now())
 	owned := map[model.ServiceID][]pool.Target{}
 	for _, t := range r.Owned {
 		s := model.ServiceID(t.Service)
--- a/internal/poison/ledger.go
+++ b/internal/poison/ledger.go
@@ -34,6 +34,11 @@
 	maxEndsKept = 8
 	// maxLifetimes bounds the ends that are remembered for a request to explain those of others.
 	maxLifetimes = 64
+	// trialInterval is the time between the first two trials of a suspected request. In it the end of a target is
+	// confirmed and reported. It doubles with each further trial, up to maxTrialDoublings times: a target may
+	// go without a sign.
+	trialInterval     = 5 * time.Second
+	maxTrialDoublings = 6
 	// reportSkew is an allowance for the delay of a report.
 	reportSkew = 100 * time.Millisecond
 )
@@ -90,6 +95,9 @@
 	// changing means that a decision is being committed.
 	changing bool
 	lastAt   time.Duration
+	// trials is the number of trials since the request was suspected, and nextTrialAt when the next is permitted.
+	trials      int
+	nextTrialAt time.Duration
 	// lifetimes are all that ended with the request in flight, up to maxLifetimes.
 	lifetimes map[lifetime]bool
 }
@@ -108,7 +116,8 @@
 func NewLedger(quarantined map[model.RequestDigest]model.Quarantine, now time.Duration) *Ledger {
 	l := &Ledger{suspects: map[model.RequestDigest]*suspect{}, explained: map[lifetime]time.Duration{}}
 	for d, q := range quarantined {
-		s := &suspect{request: Request{d, q.Route, q.Service}, state: q.State, stateAt: now, lastAt: now}
+		// The former leader may have permitted a trial just now.
+		s := &suspect{request: Request{d, q.Route, q.Service}, state: q.State, stateAt: now, lastAt: now, nextTrialAt: now + trialInterval}
 		for _, e := range q.Ends {
 			s.ends = append(s.ends, end{lifetime: lifetime{e.Target, e.Incarnation}, at: now - time.Duration(e.AgoMillis)*time.Millisecond, vms: e.VMs})
 		}
@@ -219,6 +228,18 @@
 	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.at < startedAt+reportSkew })
 }
 
+// PermitTrial reports whether a VM may send a suspected request now, whose outcome helps to decide. One is
+// permitted at a time for all VMs: several at the same moment would end as many targets.
+func (l *Ledger) PermitTrial(d model.RequestDigest, now time.Duration) bool {
+	s, ok := l.suspects[d]
+	if !ok || s.state != model.QuarantineSuspected || s.changing || s.moments() >= banEnds || now < s.nextTrialAt {
+		return false
+	}
+	s.nextTrialAt = now + trialInterval<<min(s.trials, maxTrialDoublings)
+	s.trials++
+	return true
+}
+
 // Pending reports whether a request is suspected or about to be, so that Decide is to be called
 // again soon.
 func (l *Ledger) Pending() bool {
@@ -324,6 +345,9 @@
 	case c.Quarantine == nil:
 		s.state, s.stateAt = "", now
 	default:
+		if s.state == "" {
+			s.trials, s.nextTrialAt = 0, now
+		}
 		s.state, s.stateAt = c.Quarantine.State, now
 	}
 }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -313,3 +313,64 @@
 	}
 	assert.Equal(t, len(r.at), 3)
 }
+
+// Several VMs that send a suspected request at the same moment would end as many targets. The leader permits one at a time,
+// and ever fewer if nothing is decided; after a change of the leader it waits, since the former one may have permitted one.
+func TestTrials(t *testing.T) {
+	const ms = time.Millisecond
+	suspected := func() *world {
+		w := newWorld()
+		w.end("v1", "t1", 0, 1)
+		w.end("v2", "t2", moment, 1)
+		w.decide(moment)
+		return w
+	}
+	tests := []struct {
+		name string
+		w    func() *world
+		// at are the times at which VMs ask, and want those at which one may send.
+		at, want []time.Duration
+	}{
+		{"nine at once", suspected, []time.Duration{time.Second, time.Second, time.Second + ms, time.Second + 99*ms}, []time.Duration{time.Second}},
+		{"nothing is decided", suspected, []time.Duration{trialInterval, 2 * trialInterval, 3 * trialInterval, 4 * trialInterval, 7 * trialInterval, 8 * trialInterval}, []time.Duration{trialInterval, 2 * trialInterval, 4 * trialInterval, 8 * trialInterval}},
+		{"not suspected", newWorld, []time.Duration{time.Second}, nil},
+		{"a third end", func() *world {
+			w := suspected()
+			w.end("v3", "t3", 2*moment, 1)
+			return w
+		}, []time.Duration{time.Second}, nil},
+		{"banned", func() *world {
+			w := suspected()
+			w.end("v3", "t3", 2*moment, 1)
+			w.decide(10 * time.Second)
+			return w
+		}, []time.Duration{11 * time.Second}, nil},
+		{"cleared and suspected again", func() *world {
+			w := suspected()
+			assert.Assert(t, w.l.PermitTrial(digest(1), time.Second))
+			w.l.RecordWhole(digest(1), time.Second)
+			w.decide(time.Second)
+			w.end("v1", "t3", 2*time.Second, 1)
+			w.end("v2", "t4", 2*time.Second+moment, 1)
+			w.decide(2*time.Second + moment)
+			return w
+		}, []time.Duration{3 * time.Second, 3 * time.Second}, []time.Duration{3 * time.Second}},
+		{"a new leader", func() *world {
+			w := suspected()
+			w.l = NewLedger(w.committed, time.Second)
+			return w
+		}, []time.Duration{2 * time.Second, time.Second + trialInterval, time.Second + trialInterval}, []time.Duration{time.Second + trialInterval}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := tt.w()
+			var got []time.Duration
+			for _, at := range tt.at {
+				if w.l.PermitTrial(digest(1), at) {
+					got = append(got, at)
+				}
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
--- a/internal/proxy/deadly_test.go
+++ b/internal/proxy/deadly_test.go
@@ -76,3 +76,27 @@
 		})
 	}
 }
+
+// A suspected request comes at all VMs at the same moment, later than contact after the third end. Each of them sent it, so that
+// it ended as many targets at once; it may reach three (BUDGET).
+func TestSuspectedAtAllVMs(t *testing.T) {
+	const vms, contact, maxMore = 6, 3 * time.Second, 3
+	d := newDeployment(t, vms, 12)
+	for i := range 2 {
+		d.send(i, fmt.Sprintf("d%d", i), http.MethodGet, "/safe/deadly", "")
+		time.Sleep(300 * time.Millisecond)
+	}
+	_, ends := d.deadlyArrivals()
+	assert.Assert(t, len(ends) >= 3, "%d targets ended", len(ends))
+	time.Sleep(contact + 500*time.Millisecond)
+	var g sync.WaitGroup
+	for i := range vms {
+		g.Go(func() { d.send(i, fmt.Sprintf("e%d", i), http.MethodGet, "/safe/deadly", "") })
+	}
+	g.Wait()
+	time.Sleep(time.Second)
+	arrivals, _ := d.deadlyArrivals()
+	more := len(arrivals) - len(ends)
+	t.Logf("%d targets ended before, %d later", len(ends), more)
+	assert.Assert(t, more >= 1 && more <= maxMore, "reached %d targets later than %v after the third one ended", more, contact)
+}
--- a/internal/proxy/quarantine.go
+++ b/internal/proxy/quarantine.go
@@ -16,6 +16,9 @@
 	// ReportWhole reports that a suspected request got a whole response to a send that started some
 	// time ago.
 	ReportWhole(d model.RequestDigest, ago time.Duration)
+	// Trial reports whether this VM may send a suspected request now. If not, it asks the leading replica, which
+	// permits one at a time for all VMs.
+	Trial(d model.RequestDigest) bool
 }
 
 const (
@@ -27,9 +30,9 @@
 	reasonSuspected = "targets have ended while they ran requests like this one, and the decision on it is open"
 	// suspectedRetryDelay is the Retry-After of such a request.
 	suspectedRetryDelay = time.Second
-	// suspectHoldTime is how long a suspected request waits for the decision before this VM sends one,
+	// suspectHoldTime is how long a suspected request waits for the decision before this VM asks to send one,
 	// and the time between two that it sends.
-	suspectHoldTime = time.Second
+	suspectHoldTime = 700 * time.Millisecond
 	// suspectPollInterval is the interval at which a waiting request looks for the decision.
 	suspectPollInterval = 20 * time.Millisecond
 	// maxRecentRequests is the number of requests with whole responses that are remembered.
@@ -153,8 +156,8 @@
 	return q.refusal(reasonBanned, bannedRetryDelay)
 }
 
-// awaitDecision waits until a suspected request is cleared or banned. If the decision takes long,
-// this VM sends one such request at a time, once: its outcome helps to decide.
+// awaitDecision waits until a suspected request is cleared or banned. If the decision takes long, one VM
+// sends one such request at a time, once: its outcome helps to decide.
 func (p *Proxy) awaitDecision(q *request) (done func(), a response, ok bool) {
 	done = func() {}
 	d := p.digestOf(q)
@@ -169,7 +172,7 @@
 			return done, p.bannedResponse(q), false
 		}
 		now := p.now()
-		if p.quarantine.startTrial(d, now) {
+		if p.quarantine.isTrialDue(d, now) && (p.o.Ends == nil || p.o.Ends.Trial(d)) && p.quarantine.startTrial(d, now) {
 			q.state.maxSends = 1
 			return func() { p.quarantine.endTrial(d, p.now()) }, response{}, true
 		}
@@ -186,8 +189,8 @@
 	}
 }
 
-// startTrial reports whether a suspected request is sent now.
-func (k *quarantine) startTrial(d model.RequestDigest, now time.Duration) bool {
+// isTrialDue reports whether this VM has held a suspected request for long enough to send one.
+func (k *quarantine) isTrialDue(d model.RequestDigest, now time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	x, ok := k.trials[d]
@@ -195,7 +198,15 @@
 		x = &trial{nextAt: now + suspectHoldTime}
 		k.trials[d] = x
 	}
-	if x.running || now < x.nextAt {
+	return !x.running && now >= x.nextAt
+}
+
+// startTrial reports whether a suspected request is sent now.
+func (k *quarantine) startTrial(d model.RequestDigest, now time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	x, ok := k.trials[d]
+	if !ok || x.running || now < x.nextAt {
 		return false
 	}
 	x.running = true
--- a/internal/proxy/quarantine_test.go
+++ b/internal/proxy/quarantine_test.go
@@ -36,6 +36,8 @@
 	e.wholes = append(e.wholes, d)
 }
 
+func (e *endRecorder) Trial(model.RequestDigest) bool { return true }
+
 func (e *endRecorder) counts() (ends, wholes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/server/quarantine.go
+++ b/internal/server/quarantine.go
@@ -50,6 +50,21 @@
 	}
 }
 
+// permitTrials permits the trials that a renewal asks for and that are due. The caller holds mu.
+func (s *Server) permitTrials(q *eelpb.RenewRequest, a *eelpb.RenewReply) {
+	a.PermitsTrials = true
+	if a.WantTargets {
+		return // The entry takes nothing else from the reply.
+	}
+	for _, b := range q.Trials {
+		if len(b) != len(model.RequestDigest{}) || !s.suspects.PermitTrial(model.RequestDigest(b), s.o.Node.Now()) {
+			continue
+		}
+		a.Trials = append(a.Trials, b)
+		level.Info(s.o.Log).Log("msg", "suspected request permitted", "digest", model.RequestDigest(b), "vm", q.Vm)
+	}
+}
+
 // decideLoop decides on requests that may end targets whenever there is new evidence.
 func (s *Server) decideLoop(ctx context.Context) error {
 	t := time.NewTicker(idleDecideInterval)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -258,6 +258,7 @@
 	s.observeFormat(q)
 	s.addCredits(q, a, c)
 	s.recordEvidence(q)
+	s.permitTrials(q, a)
 	// A process that was suspended meanwhile must not grant a lease for a past term.
 	if _, _, ok := s.o.Node.Leadership(); !ok {
 		return nil, s.notLeader()
