Run the long simulations of the membership side by side

No assertion had failed.

Cause: the tests of the series of losses take three sizes of groups since, one simulation after the other, on one processor.

Change: these simulations run in parallel, as TestSlowDisks does; they share nothing.

--- a/internal/node/series_test.go
+++ b/internal/node/series_test.go
@@ -173,6 +173,7 @@
 		for i := range seeds(t) {
 			size, seed := 3+int(i%3), i/3
 			t.Run(fmt.Sprintf("%s/replicas=%d/seed=%d", tt.name, size, seed), func(t *testing.T) {
+				t.Parallel()
 				s := newMaintained(t, seed, size)
 				for round := range 6 {
 					tt.trouble(s)
@@ -194,6 +195,7 @@
 func TestLeaderLostAfterVoter(t *testing.T) {
 	for seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			s := newMaintained(t, seed, 5)
 			for _, h := range s.hosts {
 				h.n.o.CatchUp = testCatchUpOfTwo
@@ -309,6 +311,7 @@
 		for i := range 2 * seeds(t) {
 			size, seed := 3+2*int(i%2), i/2
 			t.Run(fmt.Sprintf("%s/replicas=%d/seed=%d", tt.name, size, seed), func(t *testing.T) {
+				t.Parallel()
 				s := newMaintained(t, seed, size)
 				s.loss = 0
 				s.maintainMembership(s.addReplica())
--- a/internal/node/standby_test.go
+++ b/internal/node/standby_test.go
@@ -33,6 +33,7 @@
 	for _, tt := range tests {
 		for seed := range seeds(t) / 3 {
 			t.Run(fmt.Sprintf("%s/seed=%d", tt.name, seed), func(t *testing.T) {
+				t.Parallel()
 				s := newMaintained(t, seed, tt.size)
 				for range tt.joins {
 					x := s.addReplica()
@@ -66,6 +67,7 @@
 func TestSuccessorLostBetweenChanges(t *testing.T) {
 	for seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
 			s := newSim(t, seed, 3)
 			s.run(5 * time.Second)
 			dead, x := s.victim(false), s.addReplica()
@@ -97,6 +99,7 @@
 	for i := range seeds(t) {
 		size, seed := 3+int(i%3), i/3
 		t.Run(fmt.Sprintf("replicas=%d/seed=%d", size, seed), func(t *testing.T) {
+			t.Parallel()
 			s := newMaintained(t, seed, size)
 			for round, fault := range s.rnd.Perm(4) {
 				switch fault {
